Decide ownership in a pure core: holder, keeper, controller, leadership

Cause: the product does not exist yet; one owner per key under failure is what everything else stands on. Ruled out: renewals initiated by the keeper (a thawed server would read renewals queued while it was frozen and believe them), grants as leases in the platform's service (an outage ends them all), votes among keepers (the users rule it out). Change: a server sends heartbeats, each of its two keepers answers with a renewal, and the server counts the expiry from its own sending time. A range is granted only to a recorded candidate and only while every other candidate certainly does not hold it. Terms are taken by compare-and-swap of the record. A small world of fakes drives the cores in focused failure tests.

--- /dev/null
+++ b/src/grant.rs
@@ -0,0 +1,70 @@
+//! Grants: what a server may own, and for how long.
+//!
+//! A server holds one [`GrantSet`] at a time. Its keepers renew the set as a
+//! whole; a server that hears from none of them for [`LEASE_TTL`] owns nothing.
+//! The expiry is counted on the server's own clock from the moment it sent the
+//! heartbeat that the renewal answers, so neither a delayed renewal nor a pause
+//! anywhere can stretch it.
+
+use crate::ids;
+use crate::range;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::fmt;
+use std::time::Duration;
+
+/// Life of a grant after the heartbeat that a renewal answers.
+pub const LEASE_TTL: Duration = Duration::from_millis(600);
+
+/// Interval of a server's heartbeats to each of its keepers.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Silence after which a keeper suspects a server.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(350);
+
+/// Largest rate difference between two clocks, in parts per thousand.
+pub const CLOCK_DRIFT_PERMILLE: u32 = 5;
+
+/// Returns how long after its last renewal a keeper must count a grant as held.
+///
+/// Longer than [`LEASE_TTL`] by the drift margin, since the server measures the
+/// time to live on another clock.
+pub fn expiry_bound() -> Duration {
+    LEASE_TTL + LEASE_TTL * CLOCK_DRIFT_PERMILLE / 1000
+}
+
+/// Keepers of one server.
+pub type KeeperList = SmallVec<[ids::InstanceKey; 3]>;
+
+/// Fence number of a grant set: later sets of a service compare greater.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct GrantGeneration {
+    /// Term of the controller that issued the set.
+    pub term: u32,
+    /// Order within the term, over all servers of the service.
+    pub counter: u32,
+}
+
+impl fmt::Display for GrantGeneration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.term, self.counter)
+    }
+}
+
+/// Everything a server may own under one fence number.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GrantSet {
+    pub generation: GrantGeneration,
+    /// Instances whose renewals the server accepts.
+    pub keepers: KeeperList,
+    pub ranges: Vec<range::KeyRange>,
+}
+
+impl GrantSet {
+    /// Returns whether the set covers `hash`.
+    pub fn contains(&self, hash: range::KeyHash) -> bool {
+        self.ranges.iter().any(|range| range.contains(hash))
+    }
+}
--- /dev/null
+++ b/src/routes.rs
@@ -0,0 +1,81 @@
+//! Routes: which server owns which range, as far as an instance knows.
+//!
+//! Every entry carries the fence number it was decided under, and an entry is
+//! replaced only by a newer one, so tables from several sources can be merged
+//! in any order.
+
+use crate::grant;
+use crate::ids;
+use crate::range;
+use std::hash::Hasher;
+use xxhash_rust::xxh3;
+
+/// Owner of one range.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RouteEntry {
+    pub range: range::KeyRange,
+    /// `None` while the range changes hands.
+    pub owner: Option<ids::UpstreamKey>,
+    pub version: grant::GrantGeneration,
+}
+
+/// Routes of one service, ordered by range.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RouteTable {
+    entries: Vec<RouteEntry>,
+}
+
+impl RouteTable {
+    /// Merges newer entries in; returns whether anything changed.
+    pub fn merge(&mut self, entries: &[RouteEntry]) -> bool {
+        let mut changed = false;
+        for entry in entries {
+            changed |= self.merge_entry(entry);
+        }
+        changed
+    }
+
+    fn merge_entry(&mut self, entry: &RouteEntry) -> bool {
+        let from = self
+            .entries
+            .partition_point(|e| e.range.last < entry.range.first);
+        let overlapping = self.entries[from..].iter();
+        let count = overlapping
+            .take_while(|e| e.range.overlaps(&entry.range))
+            .count();
+        let span = from..from + count;
+        if self.entries[span.clone()]
+            .iter()
+            .any(|e| e.version >= entry.version)
+        {
+            return false;
+        }
+        self.entries.splice(span, [*entry]);
+        true
+    }
+
+    /// Returns the entry that covers `hash`.
+    pub fn lookup(&self, hash: range::KeyHash) -> Option<&RouteEntry> {
+        let index = self.entries.partition_point(|e| e.range.last < hash.0);
+        self.entries
+            .get(index)
+            .filter(|entry| entry.range.contains(hash))
+    }
+
+    /// Returns all entries, ordered by range.
+    pub fn entries(&self) -> &[RouteEntry] {
+        &self.entries
+    }
+
+    /// Returns a number that differs between different tables.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = xxh3::Xxh3::new();
+        for entry in &self.entries {
+            hasher.write_u64(entry.range.first);
+            hasher.write_u64(entry.owner.map_or(0, |owner| owner.0));
+            hasher.write_u32(entry.version.term);
+            hasher.write_u32(entry.version.counter);
+        }
+        hasher.finish()
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the systems around godwitloom.
+
+pub mod world;
--- /dev/null
+++ b/standins/src/world.rs
@@ -0,0 +1,682 @@
+//! Fakes at the interfaces of the control core.
+//!
+//! A [`World`] holds a few instances' control cores, a few servers' holders and
+//! a value store, and passes messages between them on one simulated clock.
+//! Everything random comes from one seed.
+
+use godwitloom::{controller, grant, holder, ids, lead, node, range, record, server};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Resolution of the simulated clock.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Interval of the instances' timers.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Clock origin of the nodes; a machine has been up for a while.
+const ORIGIN: Duration = Duration::from_secs(1000);
+
+const INSTANCE_PORT: u16 = 1000;
+const SERVER_PORT: u16 = 2000;
+
+/// Size and faults of a [`World`].
+#[derive(Clone, Copy, Debug)]
+pub struct WorldOptions {
+    pub instances: usize,
+    pub servers: usize,
+    pub ranges_per_server: usize,
+    pub zones: usize,
+    /// Lost messages in a thousand.
+    pub loss_permille: u32,
+    pub check: holder::FenceCheck,
+    pub seed: u64,
+}
+
+impl Default for WorldOptions {
+    fn default() -> WorldOptions {
+        WorldOptions {
+            instances: 5,
+            servers: 6,
+            ranges_per_server: 2,
+            zones: 3,
+            loss_permille: 0,
+            check: holder::FenceCheck::Enforced,
+            seed: 1,
+        }
+    }
+}
+
+/// A process that faults apply to.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Process {
+    Instance(usize),
+    Server(usize),
+}
+
+/// Behaviour of the fake store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreMode {
+    Up,
+    Down,
+    /// Writes take effect, their replies are lost.
+    LosesReplies,
+}
+
+#[derive(Debug)]
+struct Instance {
+    core: node::NodeCore,
+    runs: u64,
+    alive: bool,
+    frozen: bool,
+    next_tick: Duration,
+    store_cut: bool,
+}
+
+#[derive(Debug)]
+struct Server {
+    holder: holder::HolderState,
+    book: holder::KeeperBook<SocketAddr>,
+    runs: u64,
+    alive: bool,
+    frozen: bool,
+    next_beat: Duration,
+    /// Rate of the server's clock against true time, in parts per million.
+    rate_ppm: i64,
+}
+
+#[derive(Clone, Debug)]
+enum Packet {
+    Peer {
+        from: ids::InstanceKey,
+        address: SocketAddr,
+        message: node::PeerMessage,
+    },
+    Server {
+        from: ids::InstanceKey,
+        address: SocketAddr,
+        message: node::ServerMessage,
+    },
+    Heartbeat(holder::Heartbeat),
+    Read,
+    Write {
+        record: Box<record::AssignmentRecord>,
+        revision: u64,
+    },
+    ReadDone(lead::ReadResult),
+    WriteDone(controller::WriteResult),
+}
+
+#[derive(Clone, Debug)]
+struct Delivery {
+    from: Option<Process>,
+    /// `None` is the store.
+    to: Option<Process>,
+    packet: Packet,
+}
+
+/// Counted traffic.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorldCounters {
+    pub store_reads: u64,
+    pub store_writes: u64,
+    pub peer_messages: u64,
+    pub server_messages: u64,
+    pub heartbeats: u64,
+}
+
+/// A moment at which two servers owned one key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Overlap {
+    pub at: Duration,
+    pub hash: u64,
+    pub servers: (usize, usize),
+}
+
+/// The fakes and the cores under test.
+#[derive(Debug)]
+pub struct World {
+    pub options: WorldOptions,
+    pub now: Duration,
+    pub counters: WorldCounters,
+    pub overlaps: Vec<Overlap>,
+    service: ids::ServiceKey,
+    plan: controller::ServicePlan,
+    instances: Vec<Instance>,
+    servers: Vec<Server>,
+    cuts: BTreeSet<(Process, Process)>,
+    queue: BTreeMap<(Duration, u64), Delivery>,
+    sent: u64,
+    /// Messages to frozen processes.
+    held: HashMap<Process, Vec<Delivery>>,
+    store: Option<(String, u64)>,
+    store_mode: StoreMode,
+    rng: fastrand::Rng,
+    dark_since: HashMap<u64, Duration>,
+    /// Longest time each range had no owner, since last cleared.
+    pub gaps: HashMap<u64, Duration>,
+}
+
+fn instance_address(index: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, INSTANCE_PORT + index as u16))
+}
+
+fn server_address(index: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, SERVER_PORT + index as u16))
+}
+
+fn process_at(address: SocketAddr) -> Process {
+    let port = address.port();
+    if port >= SERVER_PORT {
+        return Process::Server(usize::from(port - SERVER_PORT));
+    }
+    Process::Instance(usize::from(port - INSTANCE_PORT))
+}
+
+fn server_key(index: usize) -> ids::UpstreamKey {
+    ids::UpstreamKey::derive("team", "service", &format!("u{index}"))
+}
+
+impl World {
+    /// Creates a world whose processes have just started.
+    pub fn new(options: WorldOptions) -> World {
+        let service = ids::ServiceKey::derive("team", "service");
+        let plan = |index: usize| server::ServerPlan {
+            key: server_key(index),
+            zone: format!("z{}", index % options.zones),
+            grants: server_address(index),
+            check: options.check,
+            leaving: false,
+        };
+        let mut world = World {
+            options,
+            now: Duration::ZERO,
+            counters: WorldCounters::default(),
+            overlaps: Vec::new(),
+            service,
+            plan: controller::ServicePlan {
+                key: service,
+                servers: (0..options.servers).map(plan).collect(),
+                ranges_per_server: options.ranges_per_server,
+            },
+            instances: Vec::new(),
+            servers: Vec::new(),
+            cuts: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            held: HashMap::new(),
+            store: None,
+            store_mode: StoreMode::Up,
+            rng: fastrand::Rng::with_seed(options.seed),
+            dark_since: HashMap::new(),
+            gaps: HashMap::new(),
+        };
+        for index in 0..options.instances {
+            let instance = world.new_instance(index, 0);
+            world.instances.push(instance);
+            world.feed(index, node::NodeEvent::Plan(world.plan.clone()));
+        }
+        for index in 0..options.servers {
+            let server = world.new_server(index, 0);
+            world.servers.push(server);
+        }
+        world
+    }
+
+    fn new_instance(&mut self, index: usize, runs: u64) -> Instance {
+        let id = format!("i{index}");
+        let me = record::PeerInfo {
+            key: ids::InstanceKey::derive(&id, runs),
+            id,
+            zone: format!("z{}", index % self.options.zones),
+            control: instance_address(index),
+        };
+        Instance {
+            core: node::NodeCore::new(me),
+            runs,
+            alive: true,
+            frozen: false,
+            next_tick: self.now + Duration::from_millis(self.rng.u64(0..25)),
+            store_cut: false,
+        }
+    }
+
+    fn new_server(&mut self, index: usize, runs: u64) -> Server {
+        let run = self.rng.u64(1..);
+        Server {
+            holder: holder::HolderState::new(server_key(index), run, self.options.check),
+            book: holder::KeeperBook::new(),
+            runs,
+            alive: true,
+            frozen: false,
+            next_beat: self.now + Duration::from_millis(self.rng.u64(0..200)),
+            rate_ppm: [0, 1000, -1000][index % 3],
+        }
+    }
+
+    fn local(&self) -> Duration {
+        ORIGIN + self.now
+    }
+
+    fn server_now(&self, index: usize) -> Duration {
+        let micros = self.now.as_micros() as i64;
+        let local = micros + micros * self.servers[index].rate_ppm / 1_000_000;
+        ORIGIN + Duration::from_micros(local as u64)
+    }
+
+    /// Stops a process for good.
+    pub fn kill(&mut self, process: Process) {
+        match process {
+            Process::Instance(index) => self.instances[index].alive = false,
+            Process::Server(index) => self.servers[index].alive = false,
+        }
+        self.held.remove(&process);
+    }
+
+    /// Starts a killed process anew; a live one is replaced.
+    pub fn restart(&mut self, process: Process) {
+        self.held.remove(&process);
+        match process {
+            Process::Instance(index) => {
+                let runs = self.instances[index].runs + 1;
+                self.instances[index] = self.new_instance(index, runs);
+                self.feed(index, node::NodeEvent::Plan(self.plan.clone()));
+            }
+            Process::Server(index) => {
+                let runs = self.servers[index].runs + 1;
+                self.servers[index] = self.new_server(index, runs);
+            }
+        }
+    }
+
+    /// Suspends a process; messages to it wait.
+    pub fn freeze(&mut self, process: Process) {
+        match process {
+            Process::Instance(index) => self.instances[index].frozen = true,
+            Process::Server(index) => self.servers[index].frozen = true,
+        }
+    }
+
+    /// Resumes a suspended process; it reads what waited.
+    pub fn thaw(&mut self, process: Process) {
+        match process {
+            Process::Instance(index) => self.instances[index].frozen = false,
+            Process::Server(index) => self.servers[index].frozen = false,
+        }
+        for delivery in self.held.remove(&process).unwrap_or_default() {
+            self.deliver(delivery);
+        }
+    }
+
+    /// Drops all messages between two processes, both ways.
+    pub fn cut(&mut self, one: Process, other: Process) {
+        self.cuts.insert((one, other));
+        self.cuts.insert((other, one));
+    }
+
+    /// Cuts an instance off from the store.
+    pub fn cut_store(&mut self, instance: usize) {
+        self.instances[instance].store_cut = true;
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        for instance in &mut self.instances {
+            instance.store_cut = false;
+        }
+    }
+
+    /// Changes the behaviour of the store.
+    pub fn set_store(&mut self, mode: StoreMode) {
+        self.store_mode = mode;
+    }
+
+    /// Declares a server as leaving or not.
+    pub fn set_leaving(&mut self, index: usize, leaving: bool) {
+        self.plan.servers[index].leaving = leaving;
+        for instance in 0..self.instances.len() {
+            self.feed(instance, node::NodeEvent::Plan(self.plan.clone()));
+        }
+    }
+
+    /// Reports to all instances that the current run of `instance` has ended.
+    pub fn report_gone(&mut self, instance: usize) {
+        let key = self.instances[instance].core.me().key;
+        for index in 0..self.instances.len() {
+            self.feed(index, node::NodeEvent::Gone(key));
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver_due();
+            self.tick_servers();
+            self.tick_instances();
+            self.observe();
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let delivery = entry.remove();
+            self.deliver(delivery);
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery.to {
+            Some(process) if self.is_frozen(process) => {
+                self.held.entry(process).or_default().push(delivery);
+            }
+            Some(Process::Instance(index)) => self.deliver_instance(index, delivery.packet),
+            Some(Process::Server(index)) => self.deliver_server(index, delivery.packet),
+            None => self.serve_store(delivery),
+        }
+    }
+
+    fn is_frozen(&self, process: Process) -> bool {
+        match process {
+            Process::Instance(index) => self.instances[index].frozen,
+            Process::Server(index) => self.servers[index].frozen,
+        }
+    }
+
+    fn deliver_instance(&mut self, index: usize, packet: Packet) {
+        let service = self.service;
+        let event = match packet {
+            Packet::Peer {
+                from,
+                address,
+                message,
+            } => node::NodeEvent::Peer {
+                from,
+                address,
+                message,
+            },
+            Packet::Heartbeat(heartbeat) => node::NodeEvent::Heartbeat(heartbeat),
+            Packet::ReadDone(result) => node::NodeEvent::Read { service, result },
+            Packet::WriteDone(result) => node::NodeEvent::Written { service, result },
+            _ => return,
+        };
+        self.feed(index, event);
+    }
+
+    fn feed(&mut self, index: usize, event: node::NodeEvent) {
+        if !self.instances[index].alive {
+            return;
+        }
+        let now = self.local();
+        let actions = self.instances[index].core.step(now, event);
+        for action in actions {
+            self.perform(index, action);
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: node::NodeAction) {
+        let from = self.instances[index].core.me().key;
+        let own = instance_address(index);
+        let process = Process::Instance(index);
+        match action {
+            node::NodeAction::ToPeer { address, message } => {
+                self.counters.peer_messages += 1;
+                let packet = Packet::Peer {
+                    from,
+                    address: own,
+                    message,
+                };
+                self.send(process, Some(process_at(address)), packet);
+            }
+            node::NodeAction::ToServer { address, message } => {
+                self.counters.server_messages += 1;
+                let packet = Packet::Server {
+                    from,
+                    address: own,
+                    message,
+                };
+                self.send(process, Some(process_at(address)), packet);
+            }
+            node::NodeAction::Read { .. } => self.send(process, None, Packet::Read),
+            node::NodeAction::Write {
+                record, revision, ..
+            } => self.send(process, None, Packet::Write { record, revision }),
+            node::NodeAction::Routed { .. } | node::NodeAction::Role { .. } => {}
+        }
+    }
+
+    fn send(&mut self, from: Process, to: Option<Process>, packet: Packet) {
+        let lost = self.rng.u32(0..1000) < self.options.loss_permille;
+        if let Some(to) = to
+            && (lost || self.cuts.contains(&(from, to)))
+        {
+            return;
+        }
+        let delay = Duration::from_micros(self.rng.u64(300..4000));
+        self.push(Some(from), to, packet, delay);
+    }
+
+    fn push(
+        &mut self,
+        from: Option<Process>,
+        to: Option<Process>,
+        packet: Packet,
+        delay: Duration,
+    ) {
+        self.sent += 1;
+        let delivery = Delivery { from, to, packet };
+        self.queue.insert((self.now + delay, self.sent), delivery);
+    }
+
+    fn serve_store(&mut self, delivery: Delivery) {
+        let Some(Process::Instance(index)) = delivery.from else {
+            return;
+        };
+        let reachable = !self.instances[index].store_cut && self.store_mode != StoreMode::Down;
+        let reply = match delivery.packet {
+            Packet::Read => Packet::ReadDone(self.read_store(reachable)),
+            Packet::Write { record, revision } => {
+                Packet::WriteDone(self.write_store(reachable, *record, revision))
+            }
+            _ => return,
+        };
+        let delay = Duration::from_millis(self.rng.u64(1..6));
+        self.push(None, delivery.from, reply, delay);
+    }
+
+    fn read_store(&mut self, reachable: bool) -> lead::ReadResult {
+        self.counters.store_reads += 1;
+        if !reachable {
+            return lead::ReadResult::Failed;
+        }
+        match &self.store {
+            None => lead::ReadResult::Absent,
+            Some((text, revision)) => lead::ReadResult::Found {
+                record: Box::new(record::AssignmentRecord::from_json(text).expect("own record")),
+                revision: *revision,
+            },
+        }
+    }
+
+    fn write_store(
+        &mut self,
+        reachable: bool,
+        record: record::AssignmentRecord,
+        revision: u64,
+    ) -> controller::WriteResult {
+        self.counters.store_writes += 1;
+        if !reachable {
+            return controller::WriteResult::Unknown;
+        }
+        let current = self.store.as_ref().map_or(0, |(_, revision)| *revision);
+        if current != revision {
+            let (text, revision) = self.store.as_ref().expect("revision is not 0");
+            let record = record::AssignmentRecord::from_json(text).expect("own record");
+            return controller::WriteResult::Conflict {
+                record: Box::new(record),
+                revision: *revision,
+            };
+        }
+        self.store = Some((record.to_json(), current + 1));
+        if self.store_mode == StoreMode::LosesReplies {
+            return controller::WriteResult::Unknown;
+        }
+        controller::WriteResult::Written {
+            revision: current + 1,
+        }
+    }
+
+    fn deliver_server(&mut self, index: usize, packet: Packet) {
+        let now = self.server_now(index);
+        let server = &mut self.servers[index];
+        let Packet::Server {
+            from,
+            address,
+            message,
+        } = packet
+        else {
+            return;
+        };
+        if !server.alive {
+            return;
+        }
+        let new = server.book.attach(now, from, address);
+        match message {
+            node::ServerMessage::Attach(_) => {
+                if new {
+                    server.next_beat = self.now;
+                }
+            }
+            node::ServerMessage::Grant(_, order) => server.holder.on_grant(now, order),
+            node::ServerMessage::Renew(_, renewal) => server.holder.on_renewal(from, renewal),
+        }
+    }
+
+    fn tick_servers(&mut self) {
+        for index in 0..self.servers.len() {
+            let now = self.server_now(index);
+            let server = &mut self.servers[index];
+            if !server.alive || server.frozen || self.now < server.next_beat {
+                continue;
+            }
+            server.next_beat = self.now + grant::HEARTBEAT_INTERVAL;
+            let heartbeat = server.holder.heartbeat(now);
+            let keepers = server.holder.set().keepers.clone();
+            for address in server.book.addresses(now, &keepers) {
+                self.counters.heartbeats += 1;
+                let to = Some(process_at(address));
+                self.send(Process::Server(index), to, Packet::Heartbeat(heartbeat));
+            }
+        }
+    }
+
+    fn tick_instances(&mut self) {
+        for index in 0..self.instances.len() {
+            let instance = &mut self.instances[index];
+            if instance.frozen || self.now < instance.next_tick {
+                continue;
+            }
+            instance.next_tick = self.now + TICK;
+            self.feed(index, node::NodeEvent::Tick);
+        }
+    }
+
+    /// Checks the promise of one owner on the servers' own clocks.
+    fn observe(&mut self) {
+        let count = self.options.servers * self.options.ranges_per_server;
+        for range in range::KeyRange::split_space(count) {
+            let hash = range.first;
+            let owners = self.owners(hash);
+            if let [one, other, ..] = owners[..] {
+                self.overlaps.push(Overlap {
+                    at: self.now,
+                    hash,
+                    servers: (one, other),
+                });
+            }
+            let served = owners.iter().any(|owner| !self.servers[*owner].frozen);
+            self.observe_gap(hash, served);
+        }
+    }
+
+    fn observe_gap(&mut self, hash: u64, served: bool) {
+        let since = match served {
+            true => self.dark_since.remove(&hash),
+            false => Some(*self.dark_since.entry(hash).or_insert(self.now)),
+        };
+        if let Some(since) = since {
+            let gap = self.gaps.entry(hash).or_default();
+            *gap = (*gap).max(self.now - since);
+        }
+    }
+
+    /// Returns the servers that hold themselves to be the owner of `hash`.
+    pub fn owners(&self, hash: u64) -> Vec<usize> {
+        let owns = |index: &usize| {
+            let server = &self.servers[*index];
+            server.alive
+                && server
+                    .holder
+                    .owns(self.server_now(*index), range::KeyHash(hash))
+        };
+        (0..self.servers.len()).filter(owns).collect()
+    }
+
+    /// Forgets the gaps seen so far.
+    pub fn clear_gaps(&mut self) {
+        self.gaps.clear();
+        self.dark_since.clear();
+    }
+
+    /// Returns the longest gap since the last clearing.
+    pub fn longest_gap(&self) -> Duration {
+        self.gaps.values().copied().max().unwrap_or_default()
+    }
+
+    /// Returns the leading instance of the highest term.
+    pub fn controller(&self) -> Option<usize> {
+        let term = |index: &usize| {
+            let instance = &self.instances[*index];
+            let lead = instance.core.lead(self.service)?;
+            let core = lead.core().filter(|_| instance.alive)?;
+            Some(core.term())
+        };
+        let leading = (0..self.instances.len()).filter(|index| term(index).is_some());
+        leading.max_by_key(|index| term(index))
+    }
+
+    /// Returns the instances that the record names as keepers of a server.
+    pub fn keepers(&self, server: usize) -> Vec<usize> {
+        let Some((text, _)) = &self.store else {
+            return Vec::new();
+        };
+        let record = record::AssignmentRecord::from_json(text).expect("own record");
+        let keepers = record.keepers_of(server_key(server)).to_vec();
+        let index = |peer: record::PeerInfo| match process_at(peer.control) {
+            Process::Instance(index) => index,
+            Process::Server(index) => index,
+        };
+        keepers.into_iter().map(index).collect()
+    }
+
+    /// Returns whether a server is idle enough to stop.
+    pub fn drained(&self, server: usize) -> bool {
+        self.servers[server].holder.drained()
+    }
+
+    /// Returns the control core of an instance.
+    pub fn node(&self, index: usize) -> &node::NodeCore {
+        &self.instances[index].core
+    }
+
+    /// Returns the service that all servers belong to.
+    pub fn service(&self) -> ids::ServiceKey {
+        self.service
+    }
+}
--- /dev/null
+++ b/tests/failover.rs
@@ -0,0 +1,224 @@
+//! Focused failures of servers, instances and the platform's service.
+
+use godwitloom::holder;
+use godwitloom_standins::world::{Process, StoreMode, World, WorldOptions};
+use std::time::Duration;
+
+const SETTLE: Duration = Duration::from_secs(4);
+const SERVED_AGAIN: Duration = Duration::from_millis(1000);
+
+fn settled(options: WorldOptions) -> World {
+    let mut world = World::new(options);
+    world.run(SETTLE);
+    world.clear_gaps();
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.longest_gap(), Duration::ZERO, "no settled start");
+    world
+}
+
+fn assert_safe(world: &World) {
+    assert_eq!(world.overlaps, [], "two servers owned one key");
+}
+
+#[test]
+fn every_range_gets_an_owner() {
+    let world = settled(WorldOptions::default());
+    assert_safe(&world);
+}
+
+#[test]
+fn killed_server_is_replaced_within_a_second() {
+    for seed in 0..10 {
+        let mut world = settled(WorldOptions {
+            seed,
+            ..WorldOptions::default()
+        });
+        world.kill(Process::Server(1));
+        world.run(Duration::from_secs(3));
+        assert!(
+            world.longest_gap() <= SERVED_AGAIN,
+            "gap {:?}",
+            world.longest_gap()
+        );
+        assert_safe(&world);
+    }
+}
+
+#[test]
+fn killed_server_is_replaced_without_the_platform() {
+    for seed in 0..10 {
+        let mut world = settled(WorldOptions {
+            seed,
+            ..WorldOptions::default()
+        });
+        world.set_store(StoreMode::Down);
+        world.run(Duration::from_secs(60));
+        world.kill(Process::Server(2));
+        world.run(Duration::from_secs(3));
+        assert!(
+            world.longest_gap() <= SERVED_AGAIN,
+            "gap {:?}",
+            world.longest_gap()
+        );
+        assert_safe(&world);
+    }
+}
+
+#[test]
+fn loss_of_any_instance_leaves_no_gap() {
+    for index in 0..5 {
+        let mut world = settled(WorldOptions::default());
+        world.kill(Process::Instance(index));
+        world.run(Duration::from_secs(10));
+        assert_eq!(world.longest_gap(), Duration::ZERO, "instance {index}");
+        assert_safe(&world);
+    }
+}
+
+#[test]
+fn loss_of_any_instance_without_the_platform_leaves_no_gap() {
+    for index in 0..5 {
+        let mut world = settled(WorldOptions::default());
+        world.set_store(StoreMode::Down);
+        world.kill(Process::Instance(index));
+        world.run(Duration::from_secs(30));
+        assert_eq!(world.longest_gap(), Duration::ZERO, "instance {index}");
+        assert_safe(&world);
+    }
+}
+
+#[test]
+fn frozen_server_never_owns_with_its_successor() {
+    for frozen_ms in [300, 450, 700, 5000] {
+        let mut world = settled(WorldOptions::default());
+        world.freeze(Process::Server(0));
+        world.run(Duration::from_millis(frozen_ms));
+        world.thaw(Process::Server(0));
+        world.run(Duration::from_secs(3));
+        assert!(
+            world.longest_gap() <= SERVED_AGAIN,
+            "gap {:?}",
+            world.longest_gap()
+        );
+        assert_safe(&world);
+    }
+}
+
+#[test]
+fn killed_controller_is_succeeded() {
+    let mut world = settled(WorldOptions::default());
+    let controller = world.controller().expect("a controller");
+    world.kill(Process::Instance(controller));
+    world.run(Duration::from_secs(3));
+    assert_ne!(world.controller(), Some(controller));
+    world.kill(Process::Server(3));
+    world.run(Duration::from_secs(3));
+    assert!(
+        world.longest_gap() <= SERVED_AGAIN,
+        "gap {:?}",
+        world.longest_gap()
+    );
+    assert_safe(&world);
+}
+
+#[test]
+fn paused_controller_changes_nothing_when_it_resumes() {
+    let mut world = settled(WorldOptions::default());
+    let controller = world.controller().expect("a controller");
+    world.freeze(Process::Instance(controller));
+    world.run(Duration::from_secs(3));
+    world.kill(Process::Server(4));
+    world.run(Duration::from_secs(2));
+    world.thaw(Process::Instance(controller));
+    world.run(Duration::from_secs(3));
+    assert!(
+        world.longest_gap() <= SERVED_AGAIN,
+        "gap {:?}",
+        world.longest_gap()
+    );
+    assert_safe(&world);
+}
+
+#[test]
+fn all_instances_replaced_at_once_recover() {
+    let mut world = settled(WorldOptions::default());
+    for index in 0..5 {
+        world.restart(Process::Instance(index));
+    }
+    world.run(Duration::from_secs(6));
+    world.clear_gaps();
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.longest_gap(), Duration::ZERO);
+    assert_safe(&world);
+}
+
+#[test]
+fn keeper_lost_during_outage_does_not_block_a_later_failover() {
+    let mut world = settled(WorldOptions::default());
+    let controller = world.controller().expect("a controller");
+    world.set_store(StoreMode::Down);
+    let keepers = world.keepers(0);
+    let keeper = keepers.into_iter().find(|index| *index != controller);
+    world.kill(Process::Instance(keeper.expect("another keeper")));
+    world.run(Duration::from_secs(5));
+    world.kill(Process::Server(0));
+    world.run(Duration::from_secs(3));
+    assert!(
+        world.longest_gap() <= SERVED_AGAIN,
+        "gap {:?}",
+        world.longest_gap()
+    );
+    assert_safe(&world);
+}
+
+#[test]
+fn leaving_server_hands_over_and_keeps_the_keys_served() {
+    let mut world = settled(WorldOptions::default());
+    world.set_leaving(2, true);
+    world.run(Duration::from_secs(3));
+    assert!(world.drained(2));
+    assert!(
+        world.longest_gap() <= Duration::from_millis(500),
+        "gap {:?}",
+        world.longest_gap()
+    );
+    assert_safe(&world);
+}
+
+#[test]
+fn lost_write_replies_change_nothing() {
+    let mut world = settled(WorldOptions::default());
+    world.set_store(StoreMode::LosesReplies);
+    world.kill(Process::Server(1));
+    world.run(Duration::from_secs(3));
+    world.kill(Process::Server(2));
+    world.run(Duration::from_secs(3));
+    assert!(
+        world.longest_gap() <= SERVED_AGAIN,
+        "gap {:?}",
+        world.longest_gap()
+    );
+    assert_safe(&world);
+}
+
+#[test]
+fn servers_that_check_nothing_are_still_owned_once() {
+    let options = WorldOptions {
+        check: holder::FenceCheck::Absent,
+        ..WorldOptions::default()
+    };
+    let mut world = settled(options);
+    let controller = world.controller().expect("a controller");
+    world.freeze(Process::Instance(controller));
+    world.run(Duration::from_secs(4));
+    world.kill(Process::Server(0));
+    world.run(Duration::from_secs(2));
+    world.thaw(Process::Instance(controller));
+    world.run(Duration::from_secs(5));
+    assert!(
+        world.longest_gap() <= SERVED_AGAIN,
+        "gap {:?}",
+        world.longest_gap()
+    );
+    assert_safe(&world);
+}
