--- /dev/null
+++ b/src/body.rs
@@ -0,0 +1,102 @@
+//! Bodies that never end early unnoticed.
+
+use crate::stream;
+use futures_lite::io::{AsyncRead, BufReader};
+use http_types::Body;
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+/// Buffer of one streamed body, in bytes.
+const BODY_BUFFER_BYTES: usize = 16 * 1024;
+
+type EndAction = Box<dyn FnOnce() + Send + Sync>;
+
+/// Body of a message on an [`stream::HttpStream`].
+///
+/// Reading fails with [`io::ErrorKind::UnexpectedEof`] if the connection ends
+/// before the declared length. The end action runs once the body is whole.
+pub struct WholeBody {
+    body: Body,
+    stream: stream::HttpStream,
+    /// Declared bytes not yet read; `None` for a chunked body.
+    left: Option<u64>,
+    on_end: Option<EndAction>,
+}
+
+impl WholeBody {
+    /// Wraps the body that the HTTP library reads from `stream`.
+    pub fn new(
+        body: Body,
+        stream: stream::HttpStream,
+        on_end: impl FnOnce() + Send + Sync + 'static,
+    ) -> WholeBody {
+        let left = body.len().map(|length| length as u64);
+        let mut whole = WholeBody {
+            body,
+            stream,
+            left,
+            on_end: Some(Box::new(on_end)),
+        };
+        if left == Some(0) {
+            whole.end();
+        }
+        whole
+    }
+
+    /// Turns the body into one that the HTTP library sends.
+    pub fn into_body(self) -> Body {
+        let length = self.left.map(|left| left as usize);
+        let reader = BufReader::with_capacity(BODY_BUFFER_BYTES, self);
+        Body::from_reader(reader, length)
+    }
+
+    fn end(&mut self) {
+        if let Some(action) = self.on_end.take() {
+            action();
+        }
+    }
+
+    fn note(&mut self, count: usize) -> io::Result<()> {
+        match (&mut self.left, count) {
+            (None, 0) => self.end(),
+            (None, _) | (Some(0), 0) => {}
+            (Some(_), 0) => {
+                let message = "connection ended before the declared length of the body";
+                return Err(io::Error::new(io::ErrorKind::UnexpectedEof, message));
+            }
+            (Some(left), count) => {
+                *left = left.saturating_sub(count as u64);
+                if *left == 0 {
+                    self.end();
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for WholeBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = f.debug_struct("WholeBody");
+        debug
+            .field("stream", &self.stream)
+            .field("left", &self.left);
+        debug.finish_non_exhaustive()
+    }
+}
+
+impl AsyncRead for WholeBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.body).poll_read(cx, buf))?;
+        if !buf.is_empty() {
+            self.note(count)?;
+        }
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/src/cmd/config.rs
@@ -0,0 +1,197 @@
+use super::CommandError;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use godwitloom::{document, metrics, platform, subtree};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+static USAGE: &str = "\
+Reads and changes teams' configuration in the platform's service.
+
+A put names the version that was edited and is refused if another version came
+into force meanwhile. It is checked whole before it is written. A lost reply is
+resolved before the command ends; if the service stays away for longer than
+--patience seconds, the exit code is 3 and the result is not known.";
+
+pub fn command() -> Command {
+    Command::new("config")
+        .about("Read and change teams' configuration")
+        .long_about(USAGE)
+        .subcommand_required(true)
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .global(true)
+                .value_name("IP:PORT")
+                .value_parser(value_parser!(SocketAddr))
+                .default_value("127.0.0.1:2380")
+                .help("Address of the platform's service"),
+        )
+        .arg(
+            Arg::new("patience")
+                .long("patience")
+                .global(true)
+                .value_name("SECONDS")
+                .value_parser(value_parser!(u64))
+                .default_value("30")
+                .help("Time to learn the result of a write"),
+        )
+        .subcommand(
+            Command::new("get")
+                .about("Print a version; the one in force by default")
+                .arg(team())
+                .arg(version("version").required(false)),
+        )
+        .subcommand(
+            Command::new("put")
+                .about("Write a new version")
+                .arg(team())
+                .arg(
+                    Arg::new("file")
+                        .required(true)
+                        .value_name("FILE")
+                        .help("JSON with comments"),
+                )
+                .arg(
+                    version("edited")
+                        .long("edited")
+                        .help("Version that was edited; 0 for a new team"),
+                )
+                .arg(author()),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Compare two versions")
+                .arg(team())
+                .arg(version("from"))
+                .arg(version("to")),
+        )
+        .subcommand(
+            Command::new("history")
+                .about("List the versions of a team")
+                .arg(team()),
+        )
+        .subcommand(
+            Command::new("rollback")
+                .about("Write an earlier version as a new one")
+                .arg(team())
+                .arg(version("version"))
+                .arg(author()),
+        )
+}
+
+fn team() -> Arg {
+    Arg::new("team").required(true).value_name("TEAM")
+}
+
+fn version(name: &'static str) -> Arg {
+    Arg::new(name)
+        .required(true)
+        .value_name("VERSION")
+        .value_parser(value_parser!(u64))
+}
+
+fn author() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .value_name("NAME")
+        .default_value("operator")
+        .help("Who makes the change")
+}
+
+pub fn run(args: &ArgMatches) -> Result<(), CommandError> {
+    let (name, args) = args.subcommand().expect("clap requires a subcommand");
+    let args = ConfigArgs::new(args);
+    async_io::block_on(async {
+        match name {
+            "get" => args.get().await,
+            "put" => args.put().await,
+            "diff" => args.diff().await,
+            "history" => args.history().await,
+            _ => args.rollback().await,
+        }
+    })
+}
+
+struct ConfigArgs<'a> {
+    matches: &'a ArgMatches,
+    store: subtree::SubtreeStore,
+    team: &'a str,
+}
+
+impl<'a> ConfigArgs<'a> {
+    fn new(matches: &'a ArgMatches) -> ConfigArgs<'a> {
+        let metrics = Arc::new(metrics::MetricSet::new());
+        let client = platform::PlatformClient::new(super::address(matches, "platform"), metrics);
+        let patience = *matches.get_one("patience").expect("has a default");
+        ConfigArgs {
+            matches,
+            store: subtree::SubtreeStore::new(client, Duration::from_secs(patience)),
+            team: super::required(matches, "team"),
+        }
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        *self.matches.get_one(name).expect("argument is required")
+    }
+
+    async fn current(&self) -> Result<subtree::SubtreeVersion, subtree::SubtreeError> {
+        let current = self.store.current(self.team).await?;
+        current.ok_or_else(|| subtree::SubtreeError::NoTeam(self.team.to_owned()))
+    }
+
+    async fn get(&self) -> Result<(), CommandError> {
+        let version = match self.matches.get_one::<u64>("version") {
+            Some(version) => self.store.version(self.team, *version).await?,
+            None => self.current().await?,
+        };
+        eprintln!("team {} version {}", self.team, version.version);
+        print!("{}", version.text);
+        Ok(())
+    }
+
+    async fn put(&self) -> Result<(), CommandError> {
+        let text = document::read_text(super::required(self.matches, "file"))?;
+        self.write(self.number("edited"), &text).await
+    }
+
+    async fn write(&self, edited: u64, text: &str) -> Result<(), CommandError> {
+        let author = super::required(self.matches, "author");
+        let accepted = self.store.put(self.team, edited, author, text).await?;
+        println!("accepted: team {} version {}", self.team, accepted.version);
+        Ok(())
+    }
+
+    async fn diff(&self) -> Result<(), CommandError> {
+        let from = self.store.version(self.team, self.number("from")).await?;
+        let to = self.store.version(self.team, self.number("to")).await?;
+        print!("{}", subtree::diff(&from, &to));
+        Ok(())
+    }
+
+    async fn history(&self) -> Result<(), CommandError> {
+        let current = self.current().await?;
+        for number in 1..current.version {
+            let version = self.store.version(self.team, number).await?;
+            print_version(&version, "");
+        }
+        print_version(&current, " in force");
+        Ok(())
+    }
+
+    async fn rollback(&self) -> Result<(), CommandError> {
+        let version = self
+            .store
+            .version(self.team, self.number("version"))
+            .await?;
+        let current = self.current().await?;
+        self.write(current.version, &version.text).await
+    }
+}
+
+fn print_version(version: &subtree::SubtreeVersion, note: &str) {
+    println!(
+        "version {} by {} at {}{note}",
+        version.version, version.author, version.written_at
+    );
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,87 @@
+//! Subcommands, one file each.
+
+mod check;
+mod config;
+mod gone;
+mod serve;
+mod status;
+
+use clap::{ArgMatches, Command};
+use godwitloom::{daemon, document, exchange, subtree};
+use std::process::ExitCode;
+use thiserror::Error;
+
+/// Exit code for settings or arguments that cannot be used.
+const USAGE_EXIT: u8 = 2;
+
+/// Exit code for a write whose result is not known.
+const UNRESOLVED_EXIT: u8 = 3;
+
+/// Why a subcommand failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    #[error(transparent)]
+    Document(#[from] document::DocumentError),
+    #[error(transparent)]
+    Daemon(#[from] daemon::DaemonError),
+    #[error(transparent)]
+    Call(#[from] exchange::CallError),
+    #[error(transparent)]
+    Subtree(#[from] subtree::SubtreeError),
+    #[error("instance answered status {status}: {body}")]
+    Refused { status: u16, body: String },
+    #[error("instance's answer is not its status: {0}; run the same version on both ends")]
+    Answer(#[from] serde_json::Error),
+    #[error("service \"{0}\" is not TEAM/SERVICE of a keyed service; see `godwitloom status`")]
+    Service(String),
+}
+
+impl CommandError {
+    /// Returns the exit code of the process.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            CommandError::Document(_)
+            | CommandError::Subtree(subtree::SubtreeError::Document(_)) => {
+                ExitCode::from(USAGE_EXIT)
+            }
+            CommandError::Subtree(subtree::SubtreeError::Unresolved { .. }) => {
+                ExitCode::from(UNRESOLVED_EXIT)
+            }
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// Returns the command line.
+pub fn command() -> Command {
+    clap::command!()
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(serve::command())
+        .subcommand(check::command())
+        .subcommand(config::command())
+        .subcommand(status::command())
+        .subcommand(gone::command())
+}
+
+/// Runs the subcommand that was asked for.
+pub fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    match matches.subcommand() {
+        Some(("serve", args)) => serve::run(args),
+        Some(("check", args)) => check::run(args),
+        Some(("config", args)) => config::run(args),
+        Some(("status", args)) => status::run(args),
+        Some(("gone", args)) => gone::run(args),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+/// Returns a required string argument.
+fn required<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).expect("argument is required")
+}
+
+/// Returns a required address argument.
+fn address(args: &ArgMatches, name: &str) -> std::net::SocketAddr {
+    *args.get_one(name).expect("argument is required")
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,464 @@
+//! Control thread of an instance: the shell around [`node::NodeCore`].
+//!
+//! It feeds the core from sockets, timers and the platform's service, performs
+//! the core's actions, and publishes the view that the traffic threads use.
+
+use crate::clock;
+use crate::config;
+use crate::controller;
+use crate::ids;
+use crate::lead;
+use crate::link;
+use crate::metrics;
+use crate::node;
+use crate::operators;
+use crate::platform;
+use crate::proxy;
+use crate::record;
+use crate::settings;
+use crate::subtree;
+use crate::upstream;
+use crate::view;
+use crate::wire;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Interval of the core's timer.
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Pause after a failed call to the platform's service.
+const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Interval at which idle connections to upstreams are trimmed.
+const TRIM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Instances among which an upstream's connections are shared until the
+/// controller says how many there are.
+const ASSUMED_INSTANCES: usize = 10;
+
+/// Sockets of an instance, bound before it starts.
+#[derive(Debug)]
+pub struct ControlSockets {
+    pub peers: TcpListener,
+    pub servers: UdpSocket,
+    pub operators: TcpListener,
+}
+
+impl ControlSockets {
+    /// Binds the control and operators' addresses of `settings`.
+    pub fn bind(settings: &settings::InstanceSettings) -> io::Result<ControlSockets> {
+        Ok(ControlSockets {
+            peers: TcpListener::bind(settings.control)?,
+            servers: UdpSocket::bind(settings.control)?,
+            operators: TcpListener::bind(settings.operators)?,
+        })
+    }
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    team: Arc<str>,
+    config: Arc<config::ServiceConfig>,
+    budget: Arc<crate::budget::RetryBudget>,
+    pools: HashMap<ids::UpstreamKey, Arc<upstream::UpstreamPool>>,
+}
+
+/// State of the control thread.
+pub struct ControlThread {
+    pub core: RefCell<node::NodeCore>,
+    pub context: Arc<proxy::ProxyContext>,
+    clock: Box<dyn clock::Clock>,
+    executor: Rc<LocalExecutor<'static>>,
+    links: link::LinkSet,
+    servers: Async<UdpSocket>,
+    platform: platform::PlatformClient,
+    metrics: Arc<metrics::MetricSet>,
+    /// Version of each team's configuration in force.
+    teams: RefCell<BTreeMap<String, u64>>,
+    services: RefCell<HashMap<ids::ServiceKey, ServiceState>>,
+    /// Whether the configuration has been read.
+    configured: Cell<bool>,
+}
+
+impl ControlThread {
+    /// Creates the state of an instance's control thread.
+    pub fn new(
+        context: Arc<proxy::ProxyContext>,
+        clock: Box<dyn clock::Clock>,
+        servers: UdpSocket,
+    ) -> io::Result<Rc<ControlThread>> {
+        let executor = Rc::new(LocalExecutor::new());
+        let settings = &context.settings;
+        let me = record::PeerInfo {
+            key: ids::InstanceKey::derive(&settings.id, fastrand::u64(..)),
+            id: settings.id.clone(),
+            zone: settings.zone.clone(),
+            control: settings.control,
+        };
+        let metrics = context.metrics.clone();
+        Ok(Rc::new(ControlThread {
+            core: RefCell::new(node::NodeCore::new(me)),
+            clock,
+            links: link::LinkSet::new(executor.clone()),
+            executor,
+            servers: Async::new(servers)?,
+            platform: platform::PlatformClient::new(settings.platform, metrics.clone()),
+            metrics,
+            teams: RefCell::default(),
+            services: RefCell::default(),
+            configured: Cell::new(false),
+            context,
+        }))
+    }
+
+    /// Runs until `stop` ends.
+    pub fn run(
+        self: &Rc<Self>,
+        peers: TcpListener,
+        operators: TcpListener,
+        stale: async_channel::Receiver<ids::ServiceKey>,
+        stop: impl Future<Output = ()>,
+    ) -> io::Result<()> {
+        let peers = Async::new(peers)?;
+        let operators = Async::new(operators)?;
+        self.spawn(Self::tick(self.clone()));
+        self.spawn(Self::accept_peers(self.clone(), peers));
+        self.spawn(Self::receive_heartbeats(self.clone()));
+        self.spawn(Self::watch_config(self.clone()));
+        self.spawn(Self::refresh_stale(self.clone(), stale));
+        self.spawn(Self::trim_pools(self.clone()));
+        self.spawn(operators::serve(self.clone(), operators));
+        async_io::block_on(self.executor.run(stop));
+        Ok(())
+    }
+
+    /// Runs a task on the control thread.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Returns whether callers' requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.configured.get() && !self.context.stopping.load(Ordering::Acquire)
+    }
+
+    /// Returns the teams and the versions of their configuration.
+    pub fn teams(&self) -> BTreeMap<String, u64> {
+        self.teams.borrow().clone()
+    }
+
+    /// Feeds one event to the core and performs its actions.
+    pub fn handle(self: &Rc<Self>, event: node::NodeEvent) {
+        let now = self.clock.now();
+        let actions = self.core.borrow_mut().step(now, event);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(self: &Rc<Self>, action: node::NodeAction) {
+        match action {
+            node::NodeAction::ToPeer { address, message } => self.send_peer(address, message),
+            node::NodeAction::ToServer { address, message } => self.send_server(address, message),
+            node::NodeAction::Read { service } => self.spawn(Self::read(self.clone(), service)),
+            node::NodeAction::Write {
+                service,
+                record,
+                revision,
+            } => self.spawn(Self::write(self.clone(), service, record, revision)),
+            node::NodeAction::Routed { .. } => {
+                self.metrics.control.route_changes.add(1, &[]);
+                self.publish();
+            }
+            node::NodeAction::Role {
+                service,
+                leading,
+                term,
+            } => self.log_role(service, leading, term),
+        }
+    }
+
+    fn send_peer(&self, address: SocketAddr, message: node::PeerMessage) {
+        let (from, own) = {
+            let core = self.core.borrow();
+            (core.me().key, core.me().control)
+        };
+        let envelope = wire::PeerEnvelope {
+            from,
+            address: own,
+            message,
+        };
+        let frame = envelope.encode();
+        self.metrics.control.peer_messages.add(1, &[]);
+        self.metrics
+            .control
+            .control_bytes
+            .add(frame.len() as u64, &[]);
+        self.links.send(address, frame);
+    }
+
+    fn send_server(&self, address: SocketAddr, message: node::ServerMessage) {
+        let from = self.core.borrow().me().key;
+        let datagram = wire::ServerEnvelope { from, message }.encode();
+        self.metrics.control.server_messages.add(1, &[]);
+        self.metrics
+            .control
+            .control_bytes
+            .add(datagram.len() as u64, &[]);
+        if let Err(error) = self.servers.get_ref().send_to(&datagram, address) {
+            log::debug!("datagram to {address} not sent: {error}");
+        }
+    }
+
+    fn log_role(&self, service: ids::ServiceKey, leading: bool, term: u32) {
+        let name = self.record_key(service).unwrap_or_default();
+        match leading {
+            true => log::info!("{name}: controller in term {term}"),
+            false => log::info!("{name}: no longer controller, term {term} began"),
+        }
+    }
+
+    async fn tick(this: Rc<Self>) {
+        loop {
+            Timer::after(TICK_INTERVAL).await;
+            this.handle(node::NodeEvent::Tick);
+        }
+    }
+
+    async fn accept_peers(this: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((io, _)) => {
+                    let receiver = this.clone();
+                    let receive = async move {
+                        let take = |frame: &[u8]| receiver.take_frame(frame);
+                        if let Err(error) = link::receive_frames(io, take).await {
+                            log::debug!("incoming link ended: {error}");
+                        }
+                    };
+                    this.spawn(receive);
+                }
+                Err(error) => {
+                    log::debug!("link not accepted: {error}");
+                    Timer::after(TICK_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn take_frame(self: &Rc<Self>, frame: &[u8]) {
+        match wire::PeerEnvelope::decode(frame) {
+            Ok(envelope) => self.handle(node::NodeEvent::Peer {
+                from: envelope.from,
+                address: envelope.address,
+                message: envelope.message,
+            }),
+            Err(error) => log::warn!("frame dropped: {error}"),
+        }
+    }
+
+    async fn receive_heartbeats(this: Rc<Self>) {
+        let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES];
+        loop {
+            let Ok((length, sender)) = this.servers.recv_from(&mut buffer).await else {
+                continue;
+            };
+            match wire::decode_heartbeat(&buffer[..length]) {
+                Ok(heartbeat) => this.handle(node::NodeEvent::Heartbeat(heartbeat)),
+                Err(error) => log::debug!("datagram from {sender} dropped: {error}"),
+            }
+        }
+    }
+
+    async fn refresh_stale(this: Rc<Self>, stale: async_channel::Receiver<ids::ServiceKey>) {
+        while let Ok(service) = stale.recv().await {
+            if let Some(lead) = this.core.borrow_mut().lead_mut(service) {
+                lead.refresh();
+            }
+            Timer::after(TICK_INTERVAL).await;
+            while stale.try_recv().is_ok() {}
+        }
+    }
+
+    async fn trim_pools(this: Rc<Self>) {
+        loop {
+            Timer::after(TRIM_INTERVAL).await;
+            for service in this.context.view.load().services() {
+                for pool in &service.upstreams {
+                    pool.trim();
+                }
+            }
+        }
+    }
+
+    fn record_key(&self, service: ids::ServiceKey) -> Option<String> {
+        let services = self.services.borrow();
+        let state = services.get(&service)?;
+        Some(format!("assign/{}/{}", state.team, state.config.name))
+    }
+
+    async fn read(this: Rc<Self>, service: ids::ServiceKey) {
+        let Some(key) = this.record_key(service) else {
+            return;
+        };
+        let result = this.read_record(&key).await;
+        this.handle(node::NodeEvent::Read { service, result });
+    }
+
+    async fn read_record(&self, key: &str) -> lead::ReadResult {
+        let stored = match self.platform.get(key).await {
+            Ok(Some(stored)) => stored,
+            Ok(None) => return lead::ReadResult::Absent,
+            Err(error) => {
+                log::debug!("{key}: not read: {error}");
+                return lead::ReadResult::Failed;
+            }
+        };
+        match record::AssignmentRecord::from_json(&stored.value) {
+            Ok(record) => lead::ReadResult::Found {
+                record: Box::new(record),
+                revision: stored.revision,
+            },
+            Err(error) => {
+                log::error!("{key}: {error}");
+                lead::ReadResult::Failed
+            }
+        }
+    }
+
+    async fn write(
+        this: Rc<Self>,
+        service: ids::ServiceKey,
+        record: Box<record::AssignmentRecord>,
+        revision: u64,
+    ) {
+        let Some(key) = this.record_key(service) else {
+            return;
+        };
+        let result = this.write_record(&key, &record, revision).await;
+        this.handle(node::NodeEvent::Written { service, result });
+    }
+
+    async fn write_record(
+        &self,
+        key: &str,
+        record: &record::AssignmentRecord,
+        revision: u64,
+    ) -> controller::WriteResult {
+        let swap = self.platform.swap(key, &record.to_json(), revision).await;
+        if let Ok(platform::SwapAnswer::Written { revision }) = swap {
+            return controller::WriteResult::Written { revision };
+        }
+        match self.read_record(key).await {
+            lead::ReadResult::Found {
+                record: stored,
+                revision: found,
+            } if found != revision => controller::WriteResult::Conflict {
+                record: stored,
+                revision: found,
+            },
+            _ => controller::WriteResult::Unknown,
+        }
+    }
+
+    async fn watch_config(this: Rc<Self>) {
+        let mut after = 0;
+        loop {
+            match this.platform.watch(config::CONFIG_PREFIX, after).await {
+                Ok(answer) => {
+                    after = after.max(answer.revision);
+                    for entry in answer.entries {
+                        this.take_config(&entry);
+                    }
+                    this.configured.set(true);
+                }
+                Err(error) => {
+                    log::debug!("configuration not watched: {error}");
+                    Timer::after(PLATFORM_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    fn take_config(self: &Rc<Self>, entry: &platform::StoredEntry) {
+        let Some(team) = entry.key.strip_prefix(config::CONFIG_PREFIX) else {
+            return;
+        };
+        let version = match subtree::SubtreeVersion::decode(&entry.key, &entry.value) {
+            Ok(version) => version,
+            Err(error) => return log::error!("configuration not applied: {error}"),
+        };
+        let known = self.teams.borrow().get(team).copied().unwrap_or(0);
+        if version.version <= known {
+            return;
+        }
+        match config::TeamConfig::parse(&entry.key, team, &version.text) {
+            Ok(config) => self.apply_config(config, version.version),
+            Err(error) => log::error!("configuration not applied: {error}"),
+        }
+    }
+
+    fn apply_config(self: &Rc<Self>, config: config::TeamConfig, version: u64) {
+        log::info!("team {}: configuration {version} in force", config.team);
+        for service in &config.services {
+            self.apply_service(&config.team, service);
+        }
+        let plans = config.services.iter().filter(|service| service.keyed);
+        let plans: Vec<_> = plans.map(controller::ServicePlan::from).collect();
+        self.teams.borrow_mut().insert(config.team, version);
+        for plan in plans {
+            self.handle(node::NodeEvent::Plan(plan));
+        }
+        self.publish();
+    }
+
+    fn apply_service(&self, team: &str, config: &config::ServiceConfig) {
+        let mut services = self.services.borrow_mut();
+        let state = services.entry(config.key).or_insert_with(|| ServiceState {
+            team: team.into(),
+            config: Arc::new(config.clone()),
+            budget: Arc::default(),
+            pools: HashMap::new(),
+        });
+        let share = config.connections.div_ceil(ASSUMED_INSTANCES);
+        let old = std::mem::take(&mut state.pools);
+        for declared in &config.upstreams {
+            let same = old
+                .get(&declared.key)
+                .filter(|pool| pool.config == *declared);
+            let new = || Arc::new(upstream::UpstreamPool::new(declared.clone(), share));
+            let pool = same.cloned().unwrap_or_else(new);
+            pool.set_limit(share);
+            state.pools.insert(declared.key, pool);
+        }
+        state.config = Arc::new(config.clone());
+    }
+
+    /// Publishes configuration and routes to the traffic threads.
+    fn publish(&self) {
+        let core = self.core.borrow();
+        let services = self.services.borrow();
+        let view = services.values().map(|state| {
+            let lead = core.lead(state.config.key);
+            let upstreams = state.config.upstreams.iter();
+            Arc::new(view::ServiceView {
+                team: state.team.clone(),
+                config: state.config.clone(),
+                table: lead.map(|lead| lead.table().clone()).unwrap_or_default(),
+                upstreams: upstreams.map(|u| state.pools[&u.key].clone()).collect(),
+                budget: state.budget.clone(),
+            })
+        });
+        self.context
+            .view
+            .store(Arc::new(view::TrafficView::new(view)));
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,89 @@
+//! An instance's process: start, run, graceful stop.
+
+use crate::clock;
+use crate::control;
+use crate::metrics;
+use crate::proxy;
+use crate::settings;
+use crate::traffic;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Stale routes that wait for the control thread.
+const MAX_STALE_REPORTS: usize = 64;
+
+/// Interval at which a stopping instance looks for requests in flight.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Why an instance did not start or run.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    #[error("{what} cannot listen on {address}: {source}; free the address or change the settings")]
+    Listen {
+        what: &'static str,
+        address: std::net::SocketAddr,
+        source: io::Error,
+    },
+    #[error("instance stopped: {0}")]
+    Io(#[from] io::Error),
+}
+
+/// Runs an instance until SIGTERM or SIGINT.
+pub fn run(settings: settings::InstanceSettings) -> Result<(), DaemonError> {
+    let callers = TcpListener::bind(settings.callers).map_err(|source| DaemonError::Listen {
+        what: "callers' port",
+        address: settings.callers,
+        source,
+    })?;
+    let sockets = control::ControlSockets::bind(&settings);
+    let sockets = sockets.map_err(|source| DaemonError::Listen {
+        what: "control or operators' port",
+        address: settings.control,
+        source,
+    })?;
+    log::info!("instance {} starts in zone {}", settings.id, settings.zone);
+    let (stale_sender, stale) = async_channel::bounded(MAX_STALE_REPORTS);
+    let metrics = Arc::new(metrics::MetricSet::new());
+    let context = Arc::new(proxy::ProxyContext::new(settings, metrics, stale_sender));
+    let clock = Box::new(clock::BootClock);
+    let control = control::ControlThread::new(context.clone(), clock, sockets.servers)?;
+    let threads = traffic::start(&context, callers)?;
+    let stop = stop(context.clone());
+    control.run(sockets.peers, sockets.operators, stale, stop)?;
+    drop(threads);
+    log::info!("instance {} stopped", context.settings.id);
+    Ok(())
+}
+
+/// Waits for a signal, then until no request is in flight.
+async fn stop(context: Arc<proxy::ProxyContext>) {
+    let signals = Signals::new([Signal::Term, Signal::Int]);
+    match signals {
+        Ok(mut signals) => {
+            signals.next().await;
+        }
+        Err(error) => {
+            log::error!("signals cannot be received: {error}; stop the instance with SIGKILL");
+            futures_lite::future::pending::<()>().await;
+        }
+    }
+    let started = Instant::now();
+    context.stopping.store(true, Ordering::Release);
+    log::info!("instance {} drains", context.settings.id);
+    async_io::Timer::after(context.settings.lame_duck).await;
+    let limit = context.settings.lame_duck + context.settings.stop_timeout;
+    while context.in_flight.load(Ordering::Acquire) > 0 {
+        if started.elapsed() >= limit {
+            let left = context.in_flight.load(Ordering::Acquire);
+            log::warn!("stop timeout is over with {left} requests in flight");
+            return;
+        }
+        async_io::Timer::after(STOP_POLL).await;
+    }
+}
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -85,12 +85,10 @@
     },
     Grant {
         address: SocketAddr,
-        upstream: ids::UpstreamKey,
         order: holder::GrantOrder,
     },
     Renew {
         address: SocketAddr,
-        upstream: ids::UpstreamKey,
         renewal: holder::Renewal,
     },
     Report {
@@ -278,7 +276,6 @@
             };
             return Some(KeeperAction::Renew {
                 address: self.address,
-                upstream: heartbeat.upstream,
                 renewal,
             });
         }
@@ -288,7 +285,6 @@
         };
         Some(KeeperAction::Grant {
             address: self.address,
-            upstream: heartbeat.upstream,
             order,
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,16 +5,38 @@
 //! server's side of grants ([`holder`]), their renewal ([`keeper`]), assignment
 //! ([`controller`]) and leadership ([`lead`]). The daemon around them is thin.
 
+pub mod body;
+pub mod budget;
 pub mod clock;
+pub mod config;
+pub mod control;
 pub mod controller;
+pub mod daemon;
+pub mod document;
+pub mod exchange;
 pub mod grant;
 pub mod holder;
 pub mod ids;
 pub mod keeper;
 pub mod lead;
+pub mod link;
+pub mod message;
+pub mod metrics;
 pub mod node;
+pub mod operators;
+pub mod outcome;
 pub mod placement;
+pub mod platform;
+pub mod proxy;
 pub mod range;
 pub mod record;
+pub mod refusal;
 pub mod routes;
 pub mod server;
+pub mod settings;
+pub mod stream;
+pub mod subtree;
+pub mod traffic;
+pub mod upstream;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,110 @@
+//! Frames between instances.
+//!
+//! One connection per direction and pair, opened on demand. A frame that cannot
+//! be sent at once is dropped: the control cores repeat what matters.
+
+use crate::wire;
+use async_channel::{Receiver, Sender, TrySendError};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::StreamExt;
+use futures_util::SinkExt;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio_util::bytes::Bytes;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+/// Frames that wait for one connection.
+const MAX_QUEUED_FRAMES: usize = 1024;
+
+/// Time for which an unused connection is kept.
+const IDLE_LIFE: Duration = Duration::from_secs(30);
+
+/// Time allowed to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+type FrameSocket = Framed<Compat<Async<TcpStream>>, LengthDelimitedCodec>;
+
+fn frame_socket(io: Async<TcpStream>) -> FrameSocket {
+    let _ = io.get_ref().set_nodelay(true);
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(wire::MAX_FRAME_BYTES)
+        .new_codec();
+    Framed::new(io.compat(), codec)
+}
+
+/// Outgoing connections of one instance.
+#[derive(Clone)]
+pub struct LinkSet {
+    executor: Rc<LocalExecutor<'static>>,
+    queues: Rc<RefCell<HashMap<SocketAddr, Sender<Vec<u8>>>>>,
+}
+
+impl LinkSet {
+    /// Creates a set whose connections run on `executor`.
+    pub fn new(executor: Rc<LocalExecutor<'static>>) -> LinkSet {
+        LinkSet {
+            executor,
+            queues: Rc::default(),
+        }
+    }
+
+    /// Sends a frame, or drops it.
+    pub fn send(&self, address: SocketAddr, frame: Vec<u8>) {
+        let queue = self.queue(address);
+        match queue.try_send(frame) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => log::debug!("queue to {address} is full"),
+            Err(TrySendError::Closed(frame)) => {
+                self.queues.borrow_mut().remove(&address);
+                let _ = self.queue(address).try_send(frame);
+            }
+        }
+    }
+
+    fn queue(&self, address: SocketAddr) -> Sender<Vec<u8>> {
+        let mut queues = self.queues.borrow_mut();
+        let open = || {
+            let (sender, receiver) = async_channel::bounded(MAX_QUEUED_FRAMES);
+            self.executor.spawn(run_link(address, receiver)).detach();
+            sender
+        };
+        queues.entry(address).or_insert_with(open).clone()
+    }
+}
+
+async fn run_link(address: SocketAddr, queue: Receiver<Vec<u8>>) {
+    if let Err(error) = send_frames(address, &queue).await {
+        log::debug!("link to {address} ended: {error}");
+    }
+    queue.close();
+}
+
+async fn send_frames(address: SocketAddr, queue: &Receiver<Vec<u8>>) -> io::Result<()> {
+    let connect = Async::<TcpStream>::connect(address);
+    let connected = crate::proxy::within(CONNECT_TIMEOUT, connect).await;
+    let io = connected.ok_or(io::ErrorKind::TimedOut)??;
+    let mut socket = frame_socket(io);
+    while let Some(Ok(frame)) = crate::proxy::within(IDLE_LIFE, queue.recv()).await {
+        socket.feed(Bytes::from(frame)).await?;
+        while let Ok(frame) = queue.try_recv() {
+            socket.feed(Bytes::from(frame)).await?;
+        }
+        SinkExt::<Bytes>::flush(&mut socket).await?;
+    }
+    Ok(())
+}
+
+/// Hands every frame of an incoming connection to `take`.
+pub async fn receive_frames(io: Async<TcpStream>, mut take: impl FnMut(&[u8])) -> io::Result<()> {
+    let mut socket = frame_socket(io);
+    while let Some(frame) = socket.next().await {
+        take(&frame?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,124 @@
+//! Counters of one instance, in Prometheus' text format.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::time::Duration;
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.015, 0.025, 0.05, 0.1, 0.5, 1.0, 5.0,
+];
+
+/// Instruments of one instance.
+#[derive(Debug)]
+pub struct MetricSet {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    retries: Counter<u64>,
+    held: UpDownCounter<i64>,
+    pub control: ControlMetrics,
+}
+
+/// Instruments of the control thread.
+#[derive(Debug)]
+pub struct ControlMetrics {
+    pub peer_messages: Counter<u64>,
+    pub server_messages: Counter<u64>,
+    pub control_bytes: Counter<u64>,
+    pub platform_calls: Counter<u64>,
+    pub route_changes: Counter<u64>,
+}
+
+impl ControlMetrics {
+    fn new(meter: &Meter) -> ControlMetrics {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        ControlMetrics {
+            peer_messages: counter("godwitloom.peer.messages", "Messages to other instances"),
+            server_messages: counter("godwitloom.server.messages", "Messages to upstreams"),
+            control_bytes: counter("godwitloom.control.bytes", "Bytes of control messages sent"),
+            platform_calls: counter(
+                "godwitloom.platform.calls",
+                "Calls to the platform's service",
+            ),
+            route_changes: counter("godwitloom.route.changes", "Changes of known routes"),
+        }
+    }
+}
+
+impl MetricSet {
+    /// Creates the instruments.
+    pub fn new() -> MetricSet {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("registry is empty");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("godwitloom");
+        MetricSet {
+            registry,
+            requests: meter
+                .u64_counter("godwitloom.requests")
+                .with_description("Answered requests by service and status")
+                .build(),
+            latency: meter
+                .f64_histogram("godwitloom.request.seconds")
+                .with_description("Time from a request's head to its answer's head")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            retries: meter
+                .u64_counter("godwitloom.retries")
+                .with_description("Repeated attempts by service")
+                .build(),
+            held: meter
+                .i64_up_down_counter("godwitloom.held")
+                .with_description("Requests that wait for an owner")
+                .build(),
+            control: ControlMetrics::new(&meter),
+            _provider: provider,
+        }
+    }
+
+    /// Notes an answer.
+    pub fn answered(&self, service: &str, status: u16, latency: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.latency
+            .record(latency.as_secs_f64(), std::slice::from_ref(&service));
+        let status = KeyValue::new("status", i64::from(status));
+        self.requests.add(1, &[service, status]);
+    }
+
+    /// Notes a repeated attempt.
+    pub fn retried(&self, service: &str) {
+        self.retries
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Notes requests that began (`1`) or ceased (`-1`) to wait for an owner.
+    pub fn held(&self, change: i64) {
+        self.held.add(change, &[]);
+    }
+
+    /// Returns all values as text.
+    pub fn render(&self) -> String {
+        let mut output = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut output) {
+            log::error!("metrics cannot be encoded: {error}");
+        }
+        String::from_utf8_lossy(&output).into_owned()
+    }
+}
+
+impl Default for MetricSet {
+    fn default() -> MetricSet {
+        MetricSet::new()
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,11 +27,12 @@
 pub enum ServerMessage {
     /// Asks for heartbeats.
     Attach(ids::UpstreamKey),
-    Grant(ids::UpstreamKey, holder::GrantOrder),
-    Renew(ids::UpstreamKey, holder::Renewal),
+    Grant(holder::GrantOrder),
+    Renew(holder::Renewal),
 }
 
 /// Input of an instance's control core.
+#[allow(clippy::large_enum_variant, reason = "events are consumed at once")]
 #[derive(Clone, Debug)]
 pub enum NodeEvent {
     Heartbeat(holder::Heartbeat),
@@ -274,21 +275,13 @@
                 address,
                 message: ServerMessage::Attach(upstream),
             },
-            keeper::KeeperAction::Grant {
+            keeper::KeeperAction::Grant { address, order } => NodeAction::ToServer {
                 address,
-                upstream,
-                order,
-            } => NodeAction::ToServer {
-                address,
-                message: ServerMessage::Grant(upstream, order),
+                message: ServerMessage::Grant(order),
             },
-            keeper::KeeperAction::Renew {
-                address,
-                upstream,
-                renewal,
-            } => NodeAction::ToServer {
+            keeper::KeeperAction::Renew { address, renewal } => NodeAction::ToServer {
                 address,
-                message: ServerMessage::Renew(upstream, renewal),
+                message: ServerMessage::Renew(renewal),
             },
             keeper::KeeperAction::Report { controller, report } => NodeAction::ToPeer {
                 address: controller,
--- /dev/null
+++ b/src/traffic.rs
@@ -0,0 +1,152 @@
+//! Traffic threads: callers' connections.
+
+use crate::message;
+use crate::outcome;
+use crate::proxy;
+use crate::refusal;
+use crate::stream;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use http_types::{Method, Response};
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
+
+/// Interval at which idle connections notice a stop.
+const STOP_POLL: Duration = Duration::from_millis(100);
+
+/// Starts the traffic threads on a listening socket.
+pub fn start(
+    context: &Arc<proxy::ProxyContext>,
+    listener: TcpListener,
+) -> io::Result<Vec<thread::JoinHandle<()>>> {
+    let mut threads = Vec::new();
+    for index in 0..context.settings.traffic_threads {
+        let context = context.clone();
+        let listener = listener.try_clone()?;
+        let builder = thread::Builder::new().name(format!("traffic-{index}"));
+        threads.push(builder.spawn(move || run(context, listener))?);
+    }
+    Ok(threads)
+}
+
+fn run(context: Arc<proxy::ProxyContext>, listener: TcpListener) {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("listening socket is unusable: {error}; restart the instance");
+            return;
+        }
+    };
+    async_io::block_on(executor.run(accept(&executor, context, listener)));
+}
+
+async fn accept(
+    executor: &Rc<LocalExecutor<'static>>,
+    context: Arc<proxy::ProxyContext>,
+    listener: Async<TcpListener>,
+) {
+    let mut stop_seen = None;
+    while accepting(&context, &mut stop_seen) {
+        let accepted = proxy::within(STOP_POLL, listener.accept()).await;
+        match accepted {
+            None => {}
+            Some(Ok((io, _))) => {
+                let context = context.clone();
+                executor.spawn(serve(context, io)).detach();
+            }
+            Some(Err(error)) => {
+                log::debug!("connection not accepted: {error}");
+                async_io::Timer::after(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+    drop(listener);
+    while context.in_flight.load(Ordering::Acquire) > 0 {
+        async_io::Timer::after(ACCEPT_BACKOFF).await;
+    }
+}
+
+/// Returns whether new connections are still accepted.
+fn accepting(context: &proxy::ProxyContext, stop_seen: &mut Option<Instant>) -> bool {
+    if !context.stopping.load(Ordering::Acquire) {
+        return true;
+    }
+    let since = *stop_seen.get_or_insert_with(Instant::now);
+    since.elapsed() < context.settings.lame_duck
+}
+
+async fn serve(context: Arc<proxy::ProxyContext>, io: Async<TcpStream>) {
+    let stream = stream::HttpStream::new(io);
+    while wait_request(&context, &stream).await {
+        if !serve_one(&context, &stream).await {
+            break;
+        }
+    }
+    stream.shutdown();
+}
+
+async fn wait_request(context: &proxy::ProxyContext, stream: &stream::HttpStream) -> bool {
+    loop {
+        match proxy::within(STOP_POLL, stream.wait_message()).await {
+            Some(arrived) => return arrived,
+            None if context.stopping.load(Ordering::Acquire) => return false,
+            None => {}
+        }
+    }
+}
+
+/// Serves one request; returns whether the connection may carry another.
+async fn serve_one(context: &proxy::ProxyContext, stream: &stream::HttpStream) -> bool {
+    let request = match message::read_request(stream).await {
+        Ok(Some(request)) => request,
+        Ok(None) => return false,
+        Err(message::MessageError::Io(_) | message::MessageError::Closed) => return false,
+        Err(error) => {
+            refuse(stream, error).await;
+            return false;
+        }
+    };
+    let method = request.method();
+    let asked_close = wants_close(&request);
+    let Some(mut response) = proxy::answer(context, stream, request).await else {
+        return false;
+    };
+    let stopping = context.stopping.load(Ordering::Acquire);
+    let close = asked_close || stopping || !stream.is_clean_request();
+    strip_hop_headers(&mut response);
+    if response.header(outcome::OUTCOME_HEADER).is_none() {
+        response.insert_header(outcome::OUTCOME_HEADER, outcome::Outcome::Ran.as_str());
+    }
+    if close {
+        response.insert_header("connection", "close");
+    }
+    let written = message::write_response(stream, response, method).await;
+    written.is_ok() && !close
+}
+
+fn wants_close(request: &http_types::Request) -> bool {
+    let connection = request.header("connection");
+    connection.is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"))
+}
+
+fn strip_hop_headers(response: &mut Response) {
+    let names: Vec<_> = response.header_names().cloned().collect();
+    for name in names.iter().filter(|name| message::is_hop_header(name)) {
+        response.remove_header(name);
+    }
+}
+
+async fn refuse(stream: &stream::HttpStream, error: message::MessageError) {
+    let mut response = refusal::RefusalKind::BadMessage(error).response();
+    response.insert_header("connection", "close");
+    let _ = message::write_response(stream, response, Method::Get).await;
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,230 @@
+//! Stand-in of the platform's key-value service.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /v1/kv/KEY` | 200 with value and revision, or 404 |
+//! | `PUT /v1/kv/KEY?revision=N[&lease=L]` | 200 with the new revision, or 409 |
+//! | `GET /v1/watch/PREFIX?after=N&wait_ms=T` | newer entries, at once or after a wait |
+//! | `POST /v1/leases?ttl_ms=T` | 200 with a lease |
+//! | `PUT /v1/leases/L` | 200 if the lease was renewed, or 404 |
+//! | `GET /v1/members`, `PUT /v1/members/ID` | the membership list, an entry of it |
+//! | `POST /v1/fault?mode=M&delay_ms=T` | M is `up`, `down` or `lose-replies` |
+//! | `GET /v1/calls` | number of calls served |
+
+use crate::http;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use http_types::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Largest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Interval at which a waiting watch looks for newer entries.
+const WATCH_POLL: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    value: String,
+    revision: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Fault {
+    #[default]
+    None,
+    Down,
+    LoseReplies,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    entries: BTreeMap<String, Entry>,
+    members: BTreeMap<String, Value>,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    revision: u64,
+    next_lease: u64,
+    fault: Fault,
+    delay: Duration,
+    calls: u64,
+}
+
+type SharedStore = Rc<RefCell<Store>>;
+
+/// Serves the key-value service until the process ends.
+pub fn run(address: SocketAddr) -> io::Result<()> {
+    let listener = Async::new(TcpListener::bind(address)?)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let store = SharedStore::default();
+    let answer = move |request| answer(store.clone(), request);
+    async_io::block_on(executor.run(http::serve(executor.clone(), listener, answer)));
+    Ok(())
+}
+
+async fn answer(store: SharedStore, mut request: Request) -> Option<Response> {
+    let body = request.body_string().await.ok()?;
+    let path = request.url().path().to_owned();
+    if path == "/v1/fault" {
+        return Some(set_fault(&store, &request));
+    }
+    if path == "/v1/calls" {
+        let calls = store.borrow().calls;
+        return Some(http::json(StatusCode::Ok, &json!({ "calls": calls })));
+    }
+    store.borrow_mut().calls += 1;
+    let (fault, delay) = (store.borrow().fault, store.borrow().delay);
+    if fault == Fault::Down {
+        return None;
+    }
+    Timer::after(delay).await;
+    store.borrow_mut().expire();
+    let response = match (request.method(), path.split('/').nth(2)) {
+        (Method::Get, Some("kv")) => get(&store, &path),
+        (Method::Put, Some("kv")) => put(&store, &request, &path, body),
+        (Method::Get, Some("watch")) => watch(&store, &request, &path).await?,
+        (Method::Post, Some("leases")) => grant_lease(&store, &request),
+        (Method::Put, Some("leases")) => renew_lease(&store, &path),
+        (Method::Get, Some("members")) => members(&store),
+        (Method::Put, Some("members")) => put_member(&store, &path, &body),
+        _ => http::json(StatusCode::NotFound, &json!({ "error": "no such call" })),
+    };
+    let lost = fault == Fault::LoseReplies && request.method() != Method::Get;
+    (!lost).then_some(response)
+}
+
+fn name<'a>(path: &'a str, kind: &str) -> &'a str {
+    path.strip_prefix(&format!("/v1/{kind}/")).unwrap_or("")
+}
+
+fn set_fault(store: &SharedStore, request: &Request) -> Response {
+    let mut store = store.borrow_mut();
+    store.fault = match http::query(request, "mode").as_deref() {
+        Some("down") => Fault::Down,
+        Some("lose-replies") => Fault::LoseReplies,
+        _ => Fault::None,
+    };
+    store.delay = Duration::from_millis(http::query_number(request, "delay_ms"));
+    http::json(StatusCode::Ok, &json!({}))
+}
+
+fn get(store: &SharedStore, path: &str) -> Response {
+    match store.borrow().entries.get(name(path, "kv")) {
+        Some(entry) => {
+            let value = json!({ "value": entry.value, "revision": entry.revision });
+            http::json(StatusCode::Ok, &value)
+        }
+        None => http::json(StatusCode::NotFound, &json!({ "error": "no such key" })),
+    }
+}
+
+fn put(store: &SharedStore, request: &Request, path: &str, value: String) -> Response {
+    if value.len() > MAX_VALUE_BYTES {
+        let error = json!({ "error": "value is longer than 1 MiB" });
+        return http::json(StatusCode::PayloadTooLarge, &error);
+    }
+    let mut store = store.borrow_mut();
+    let key = name(path, "kv").to_owned();
+    let found = store.entries.get(&key).map_or(0, |entry| entry.revision);
+    if found != http::query_number(request, "revision") {
+        return http::json(StatusCode::Conflict, &json!({ "revision": found }));
+    }
+    let lease = http::query(request, "lease").and_then(|text| text.parse().ok());
+    store.revision += 1;
+    let revision = store.revision;
+    let entry = Entry {
+        value,
+        revision,
+        lease,
+    };
+    store.entries.insert(key, entry);
+    http::json(StatusCode::Ok, &json!({ "revision": revision }))
+}
+
+async fn watch(store: &SharedStore, request: &Request, path: &str) -> Option<Response> {
+    let prefix = name(path, "watch").to_owned();
+    let after = http::query_number(request, "after");
+    let wait = Duration::from_millis(http::query_number(request, "wait_ms"));
+    let started = Instant::now();
+    loop {
+        if store.borrow().fault == Fault::Down {
+            return None;
+        }
+        let newer = store.borrow().newer(&prefix, after);
+        if !newer.is_empty() || started.elapsed() >= wait {
+            let revision = store.borrow().revision;
+            let answer = json!({ "revision": revision, "entries": newer });
+            return Some(http::json(StatusCode::Ok, &answer));
+        }
+        Timer::after(WATCH_POLL).await;
+    }
+}
+
+fn grant_lease(store: &SharedStore, request: &Request) -> Response {
+    let mut store = store.borrow_mut();
+    let ttl = Duration::from_millis(http::query_number(request, "ttl_ms"));
+    store.next_lease += 1;
+    let lease = store.next_lease;
+    store.leases.insert(lease, (ttl, Instant::now()));
+    http::json(StatusCode::Ok, &json!({ "lease": lease }))
+}
+
+fn renew_lease(store: &SharedStore, path: &str) -> Response {
+    let lease = name(path, "leases").parse().unwrap_or(0);
+    match store.borrow_mut().leases.get_mut(&lease) {
+        Some((_, renewed)) => {
+            *renewed = Instant::now();
+            http::json(StatusCode::Ok, &json!({}))
+        }
+        None => http::json(StatusCode::NotFound, &json!({ "error": "no such lease" })),
+    }
+}
+
+fn members(store: &SharedStore) -> Response {
+    let members: Vec<Value> = store.borrow().members.values().cloned().collect();
+    http::json(StatusCode::Ok, &Value::Array(members))
+}
+
+fn put_member(store: &SharedStore, path: &str, body: &str) -> Response {
+    match serde_json::from_str(body) {
+        Ok(member) => {
+            let id = name(path, "members").to_owned();
+            store.borrow_mut().members.insert(id, member);
+            http::json(StatusCode::Ok, &json!({}))
+        }
+        Err(error) => {
+            let error = json!({ "error": error.to_string() });
+            http::json(StatusCode::BadRequest, &error)
+        }
+    }
+}
+
+impl Store {
+    fn newer(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let below = self
+            .entries
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        let newer = below.filter(|(_, entry)| entry.revision > after);
+        newer
+            .map(|(key, entry)| {
+                json!({ "key": key, "value": entry.value, "revision": entry.revision })
+            })
+            .collect()
+    }
+
+    /// Removes leases that ran out, and the entries that they held.
+    fn expire(&mut self) {
+        self.leases
+            .retain(|_, (ttl, renewed)| renewed.elapsed() < *ttl);
+        let leases = &self.leases;
+        let held = |entry: &Entry| entry.lease.is_none_or(|lease| leases.contains_key(&lease));
+        self.entries.retain(|_, entry| held(entry));
+    }
+}
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -328,6 +328,26 @@
         }
     }
 
+    /// Ends every fault; dead processes start anew.
+    pub fn end_faults(&mut self) {
+        self.heal();
+        self.set_store(StoreMode::Up);
+        for index in 0..self.instances.len() {
+            self.end_faults_of(Process::Instance(index), self.instances[index].alive);
+        }
+        for index in 0..self.servers.len() {
+            self.end_faults_of(Process::Server(index), self.servers[index].alive);
+            self.set_leaving(index, false);
+        }
+    }
+
+    fn end_faults_of(&mut self, process: Process, alive: bool) {
+        self.thaw(process);
+        if !alive {
+            self.restart(process);
+        }
+    }
+
     /// Changes the behaviour of the store.
     pub fn set_store(&mut self, mode: StoreMode) {
         self.store_mode = mode;
@@ -553,8 +573,8 @@
                     server.next_beat = self.now;
                 }
             }
-            node::ServerMessage::Grant(_, order) => server.holder.on_grant(now, order),
-            node::ServerMessage::Renew(_, renewal) => server.holder.on_renewal(from, renewal),
+            node::ServerMessage::Grant(order) => server.holder.on_grant(now, order),
+            node::ServerMessage::Renew(renewal) => server.holder.on_renewal(from, renewal),
         }
     }
 
--- /dev/null
+++ b/tests/fuzz_ownership.rs
@@ -0,0 +1,186 @@
+//! Stateful fuzzing of ownership: any faults at any moment, one owner per key.
+//!
+//! The oracle is [`World::overlaps`]: it asks every server, on that server's
+//! own clock, whether it holds itself to be the owner of a key. After each
+//! sequence all faults end, and every key must be served again.
+//!
+//! `GODWITLOOM_FUZZ_CASES` sets the number of sequences per test.
+
+use godwitloom::holder;
+use godwitloom_standins::world::{Process, StoreMode, World, WorldOptions};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use std::time::Duration;
+
+const INSTANCES: usize = 5;
+const SERVERS: usize = 5;
+const STEPS: usize = 60;
+const DEFAULT_CASES: u32 = 60;
+const START: Duration = Duration::from_secs(3);
+const RECOVERY: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Run(u64),
+    Kill(Process),
+    Restart(Process),
+    Freeze(Process),
+    Thaw(Process),
+    Cut(Process, Process),
+    CutStore(usize),
+    Heal,
+    Store(StoreMode),
+    Leaving(usize, bool),
+}
+
+fn process() -> impl Strategy<Value = Process> {
+    prop_oneof![
+        (0..INSTANCES).prop_map(Process::Instance),
+        (0..SERVERS).prop_map(Process::Server),
+    ]
+}
+
+fn store_mode() -> impl Strategy<Value = StoreMode> {
+    prop_oneof![
+        Just(StoreMode::Up),
+        Just(StoreMode::Down),
+        Just(StoreMode::LosesReplies),
+    ]
+}
+
+/// Seed and fence checks of one sequence; faults need no further model.
+#[derive(Clone, Debug)]
+struct FaultModel {
+    seed: u64,
+    loss_permille: u32,
+    checked: bool,
+}
+
+impl ReferenceStateMachine for FaultModel {
+    type State = FaultModel;
+    type Transition = Fault;
+
+    fn init_state() -> BoxedStrategy<FaultModel> {
+        (any::<u64>(), prop_oneof![Just(0), Just(20)], any::<bool>())
+            .prop_map(|(seed, loss_permille, checked)| FaultModel {
+                seed,
+                loss_permille,
+                checked,
+            })
+            .boxed()
+    }
+
+    fn transitions(_: &FaultModel) -> BoxedStrategy<Fault> {
+        prop_oneof![
+            6 => (5u64..1500).prop_map(Fault::Run),
+            2 => process().prop_map(Fault::Kill),
+            3 => process().prop_map(Fault::Restart),
+            2 => process().prop_map(Fault::Freeze),
+            3 => process().prop_map(Fault::Thaw),
+            2 => (process(), process()).prop_map(|(one, other)| Fault::Cut(one, other)),
+            1 => (0..INSTANCES).prop_map(Fault::CutStore),
+            2 => Just(Fault::Heal),
+            2 => store_mode().prop_map(Fault::Store),
+            1 => (0..SERVERS, any::<bool>()).prop_map(|(s, leaving)| Fault::Leaving(s, leaving)),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: FaultModel, _: &Fault) -> FaultModel {
+        state
+    }
+}
+
+struct OwnershipTest;
+
+impl StateMachineTest for OwnershipTest {
+    type SystemUnderTest = World;
+    type Reference = FaultModel;
+
+    fn init_test(model: &FaultModel) -> World {
+        let mut world = World::new(WorldOptions {
+            instances: INSTANCES,
+            servers: SERVERS,
+            seed: model.seed,
+            loss_permille: model.loss_permille,
+            check: match model.checked {
+                true => holder::FenceCheck::Enforced,
+                false => holder::FenceCheck::Absent,
+            },
+            ..WorldOptions::default()
+        });
+        world.run(START);
+        world
+    }
+
+    fn apply(mut world: World, _: &FaultModel, fault: Fault) -> World {
+        match fault {
+            Fault::Run(millis) => world.run(Duration::from_millis(millis)),
+            Fault::Kill(process) => world.kill(process),
+            Fault::Restart(process) => world.restart(process),
+            Fault::Freeze(process) => world.freeze(process),
+            Fault::Thaw(process) => world.thaw(process),
+            Fault::Cut(one, other) => world.cut(one, other),
+            Fault::CutStore(instance) => world.cut_store(instance),
+            Fault::Heal => world.heal(),
+            Fault::Store(mode) => world.set_store(mode),
+            Fault::Leaving(server, leaving) => world.set_leaving(server, leaving),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World, _: &FaultModel) {
+        assert_eq!(world.overlaps, [], "two servers owned one key");
+    }
+
+    fn teardown(mut world: World, _: FaultModel) {
+        world.end_faults();
+        world.run(RECOVERY);
+        world.clear_gaps();
+        world.run(Duration::from_secs(1));
+        assert_eq!(world.overlaps, [], "two servers owned one key");
+        assert_eq!(world.longest_gap(), Duration::ZERO, "keys stay unserved");
+    }
+}
+
+fn run_sequences(seed: u64) {
+    let cases = std::env::var("GODWITLOOM_FUZZ_CASES");
+    let cases = cases.map_or(DEFAULT_CASES, |text| text.parse().expect("a number"));
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 2000,
+        ..Config::default()
+    };
+    let mut runner = proptest::test_runner::TestRunner::new(config);
+    let strategy = FaultModel::sequential_strategy(STEPS..=STEPS);
+    let result = runner.run(&strategy, |(model, faults, counter)| {
+        OwnershipTest::test_sequential(Config::default(), model, faults, counter);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("seed {seed}: {error}");
+    }
+}
+
+#[test]
+fn faults_never_give_a_key_two_owners_1() {
+    run_sequences(1);
+}
+
+#[test]
+fn faults_never_give_a_key_two_owners_2() {
+    run_sequences(2);
+}
+
+#[test]
+fn faults_never_give_a_key_two_owners_3() {
+    run_sequences(3);
+}
+
+#[test]
+fn faults_never_give_a_key_two_owners_4() {
+    run_sequences(4);
+}
