--- a/src/controller.rs
+++ b/src/controller.rs
@@ -35,6 +35,12 @@
 /// Pause after a write that failed or whose result is not known.
 const WRITE_BACKOFF: Duration = Duration::from_millis(1000);
 
+/// Term of a service's first controller.
+const FIRST_TERM: u32 = 1;
+
+/// Time that the first term leaves to preferred owners to appear.
+const FIRST_GRACE: Duration = Duration::from_millis(1000);
+
 /// What a controller needs to know of its service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServicePlan {
@@ -120,8 +126,9 @@
     servers: Vec<server::ServerState>,
     ranges: Vec<RangeState>,
     peers: HashMap<String, PeerEntry>,
-    gone: HashMap<ids::InstanceKey, Duration>,
+    gone: server::GoneTimes,
     moves: HashMap<u64, ids::UpstreamKey>,
+    started: Duration,
     deposed: bool,
 }
 
@@ -147,8 +154,9 @@
             servers: Vec::new(),
             ranges: Vec::new(),
             peers: HashMap::new(),
-            gone: HashMap::new(),
+            gone: server::GoneTimes::new(),
             moves: HashMap::new(),
+            started: now,
             deposed: false,
         };
         core.on_peer(now, me);
@@ -194,7 +202,7 @@
         };
         record::AssignmentRecord {
             attempt,
-            term: 1,
+            term: FIRST_TERM,
             controller: me.clone(),
             standby: None,
             keepers: Vec::new(),
@@ -366,22 +374,28 @@
                 server::ServerPhase::Sealing { since } => self.check_expiry(now, index, since),
                 server::ServerPhase::Expired => self.check_return(now, index),
             }
-            self.servers[index].narrow(now, self.term);
+            self.servers[index].narrow(now, self.term, &self.gone);
         }
     }
 
     fn discover(&mut self, now: Duration, index: usize) {
-        let gone = |key: ids::InstanceKey| self.gone.contains_key(&key);
-        let Some(found) = self.servers[index].discover(self.term, &gone) else {
+        let Some(found) = self.servers[index].discover(self.term, &self.gone) else {
             return;
         };
-        let (found, phase) = match found {
-            server::Discovery::Holds(set) => (set, server::ServerPhase::Live),
-            server::Discovery::AtMost(set) => (set, server::ServerPhase::Sealing { since: now }),
-        };
-        let set = grant::GrantSet {
-            generation: self.next_generation(),
-            ..found
+        let generation = self.next_generation();
+        let (set, phase) = match found {
+            server::Discovery::Holds(set) => {
+                let set = grant::GrantSet { generation, ..set };
+                (set, server::ServerPhase::Live)
+            }
+            server::Discovery::Nothing(keepers) => {
+                let set = grant::GrantSet {
+                    generation,
+                    keepers,
+                    ranges: Vec::new(),
+                };
+                (set, server::ServerPhase::Sealing { since: now })
+            }
         };
         self.servers[index].order(set);
         self.servers[index].phase = phase;
@@ -406,8 +420,7 @@
             self.servers[index].phase = server::ServerPhase::Live;
             return;
         }
-        let gone = |key: ids::InstanceKey| self.gone.get(&key).copied();
-        let expiry = self.servers[index].expiry(self.term, &gone);
+        let expiry = self.servers[index].expiry(self.term, &self.gone);
         if expiry.is_some_and(|expiry| now >= expiry) {
             let set = grant::GrantSet {
                 generation: self.next_generation(),
@@ -522,7 +535,7 @@
     fn assign_range(&self, now: Duration, index: usize, wanted: &mut [Vec<range::KeyRange>]) {
         let range = self.ranges[index].range;
         let owner = self.owner_of(range);
-        let Some(target) = self.target_of(index, owner) else {
+        let Some(target) = self.target_of(now, index, owner) else {
             return;
         };
         match owner {
@@ -541,8 +554,11 @@
     }
 
     /// Chooses the server that a range should be at.
-    fn target_of(&self, index: usize, owner: Option<usize>) -> Option<usize> {
-        let candidates = self.stored_candidates(index);
+    fn target_of(&self, now: Duration, index: usize, owner: Option<usize>) -> Option<usize> {
+        let mut candidates = self.stored_candidates(index);
+        if self.term == FIRST_TERM && now - self.started < FIRST_GRACE {
+            candidates.truncate(1);
+        }
         let usable =
             |key: &ids::UpstreamKey| self.server(*key).is_some_and(|s| s.usable(self.term));
         let planned = self.moves.get(&self.ranges[index].range.first);
@@ -569,7 +585,7 @@
                 return true;
             }
             let server = self.server(*key);
-            server.is_none_or(|server| server.confined(now, self.term))
+            server.is_none_or(|server| server.confined(now, self.term, &self.gone))
         })
     }
 
@@ -724,7 +740,9 @@
             }
         }
         for key in recorded {
-            let confined = self.server(*key).is_none_or(|s| s.confined(now, self.term));
+            let confined = self
+                .server(*key)
+                .is_none_or(|s| s.confined(now, self.term, &self.gone));
             if !list.contains(key) && !confined {
                 list.push(*key);
             }
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,6 +9,7 @@
 use crate::keeper;
 use crate::record;
 use smallvec::SmallVec;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 /// Age beyond which a report says nothing about the server's liveness.
 const REPORT_LIFE: Duration = Duration::from_millis(2500);
 
+/// When the runs of instances that are known to have ended did so, at the latest.
+pub type GoneTimes = HashMap<ids::InstanceKey, Duration>;
+
 /// One server of a service, as the configuration declares it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerPlan {
@@ -51,8 +55,8 @@
 pub enum Discovery {
     /// The server holds this set.
     Holds(grant::GrantSet),
-    /// Nothing renews the server but, at most, this set.
-    AtMost(grant::GrantSet),
+    /// Nothing is certain but that only these keepers may renew the server.
+    Nothing(grant::KeeperList),
 }
 
 #[derive(Clone, Debug)]
@@ -60,6 +64,8 @@
     keeper: ids::InstanceKey,
     report: keeper::KeeperReport,
     received: Duration,
+    /// When the keeper first reported its present set.
+    set_since: Duration,
 }
 
 impl KeeperView {
@@ -73,6 +79,15 @@
         self.report.server.is_some() && !self.silent()
     }
 
+    /// Returns whether the keeper itself renews the set that it reports.
+    ///
+    /// A sealed set may have been given away already, and an instance that is
+    /// no keeper may know one that has.
+    fn renews(&self) -> bool {
+        let report = &self.report;
+        report.set.generation > report.sealed_to && report.set.keepers.contains(&self.keeper)
+    }
+
     fn silent(&self) -> bool {
         self.report.silence >= grant::SUSPECT_AFTER
     }
@@ -121,21 +136,22 @@
         keeper: ids::InstanceKey,
         report: keeper::KeeperReport,
     ) {
+        let old = self.views.iter().position(|view| view.keeper == keeper);
+        let old = old.map(|index| self.views.swap_remove(index));
+        let generation = report.set.generation;
+        let same = old.filter(|old| old.report.set.generation == generation);
         let view = KeeperView {
             keeper,
             report,
             received: now,
+            set_since: same.map_or(now, |old| old.set_since),
         };
         let (hears, silent) = (view.hears(), view.silent());
-        match self.views.iter_mut().find(|view| view.keeper == keeper) {
-            Some(old) => *old = view,
-            None => self.views.push(view),
-        }
+        self.views.push(view);
         if hears {
             self.suspected = None;
         } else if silent && self.suspected.is_none() {
             self.suspected = Some(now);
-            self.sent = Duration::ZERO;
         }
     }
 
@@ -160,11 +176,11 @@
     }
 
     /// Returns whether the server certainly holds nothing outside the ordered set.
-    pub fn confined(&self, now: Duration, term: u32) -> bool {
+    pub fn confined(&self, now: Duration, term: u32, gone: &GoneTimes) -> bool {
         match self.phase {
             ServerPhase::Unknown | ServerPhase::Sealing { .. } => false,
             ServerPhase::Expired => true,
-            ServerPhase::Live => self.acked(term) && self.fenced(now),
+            ServerPhase::Live => self.acked(term) && self.fenced(now, gone),
         }
     }
 
@@ -173,41 +189,37 @@
     /// A server that compares fence numbers sees to that itself. For any other,
     /// every keeper must have taken the ordered set, and orders sent before
     /// must have expired.
-    fn fenced(&self, now: Duration) -> bool {
+    fn fenced(&self, now: Duration, gone: &GoneTimes) -> bool {
         if self.plan.check == holder::FenceCheck::Enforced {
             return true;
         }
         self.renewers.iter().all(|peer| {
             let view = self.views.iter().find(|view| view.keeper == peer.key);
-            view.is_some_and(|view| {
-                view.report.set.generation >= self.ordered.generation
-                    && now >= view.received + grant::expiry_bound()
-            })
+            let taken = view.filter(|view| view.report.set.generation >= self.ordered.generation);
+            let since = taken.map(|view| view.set_since);
+            let since = since.or_else(|| gone.get(&peer.key).copied());
+            since.is_some_and(|since| now >= since + grant::expiry_bound())
         })
     }
 
     /// Returns what the server may hold, once the reports show it.
-    pub fn discover(
-        &self,
-        term: u32,
-        gone: &dyn Fn(ids::InstanceKey) -> bool,
-    ) -> Option<Discovery> {
+    pub fn discover(&self, term: u32, gone: &GoneTimes) -> Option<Discovery> {
         let views = self.views.iter().filter(|view| view.report.term == term);
         let newest = views.clone().max_by_key(|view| view.report.set.generation);
         let set = newest.map(|view| view.report.set.clone());
         let set = set.unwrap_or_default();
         let holds = |view: &KeeperView| {
             let accepted = view.report.server.map(|server| server.accepted);
-            view.hears() && accepted == Some(set.generation)
+            view.hears() && view.renews() && accepted == Some(set.generation)
         };
         if set.generation.term > 0 && views.clone().any(holds) {
             return Some(Discovery::Holds(set));
         }
         let answered = |peer: &record::PeerInfo| {
-            gone(peer.key) || views.clone().any(|view| view.keeper == peer.key)
+            gone.contains_key(&peer.key) || views.clone().any(|view| view.keeper == peer.key)
         };
         let all = self.renewers.iter().all(answered);
-        all.then_some(Discovery::AtMost(set))
+        all.then_some(Discovery::Nothing(set.keepers))
     }
 
     /// Returns whether all keepers that answer agree that the server is silent.
@@ -236,20 +248,16 @@
     }
 
     /// Returns when the sealed grant has ended; `None` while a keeper may renew it.
-    pub fn expiry(
-        &self,
-        term: u32,
-        gone: &dyn Fn(ids::InstanceKey) -> Option<Duration>,
-    ) -> Option<Duration> {
+    pub fn expiry(&self, term: u32, gone: &GoneTimes) -> Option<Duration> {
         let mut expiry = Duration::ZERO;
         for peer in &self.renewers {
             let view = self.views.iter().find(|view| view.keeper == peer.key);
             let sealed = view.filter(|view| {
                 view.report.term == term && view.report.sealed_to >= self.ordered.generation
             });
-            let end = match (sealed, gone(peer.key)) {
+            let end = match (sealed, gone.get(&peer.key)) {
                 (Some(view), _) => view.expiry(),
-                (None, Some(since)) => since + grant::expiry_bound(),
+                (None, Some(since)) => *since + grant::expiry_bound(),
                 (None, None) => return None,
             };
             expiry = expiry.max(end);
@@ -264,8 +272,8 @@
     }
 
     /// Drops renewers whose renewals the server no longer accepts.
-    pub fn narrow(&mut self, now: Duration, term: u32) {
-        if self.phase == ServerPhase::Live && self.acked(term) && self.fenced(now) {
+    pub fn narrow(&mut self, now: Duration, term: u32, gone: &GoneTimes) {
+        if self.phase == ServerPhase::Live && self.acked(term) && self.fenced(now, gone) {
             let keepers = &self.ordered.keepers;
             self.renewers.retain(|peer| keepers.contains(&peer.key));
             self.views.retain(|view| keepers.contains(&view.keeper));
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -15,6 +15,9 @@
 /// Interval of the instances' timers.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Messages under way at which the cores must have lost control.
+const MAX_QUEUED: usize = 20_000;
+
 /// Clock origin of the nodes; a machine has been up for a while.
 const ORIGIN: Duration = Duration::from_secs(1000);
 
@@ -490,6 +493,8 @@
         delay: Duration,
     ) {
         self.sent += 1;
+        let queued = self.queue.len();
+        assert!(queued < MAX_QUEUED, "message storm\n{}", self.describe());
         let delivery = Delivery { from, to, packet };
         self.queue.insert((self.now + delay, self.sent), delivery);
     }
@@ -671,6 +676,50 @@
         leading.max_by_key(|index| term(index))
     }
 
+    /// Describes the controllers and what they know, for failure messages.
+    pub fn describe(&self) -> String {
+        let mut lines = vec![format!("at {:?}, store {:?}", self.now, self.store_mode)];
+        for instance in &self.instances {
+            let me = instance.core.me();
+            let lead = instance.core.lead(self.service);
+            let leader = lead.and_then(|lead| lead.leader());
+            let leader = leader.map(|(peer, term)| (peer.id.clone(), peer.key, term));
+            lines.push(format!("{} {}: follows {leader:?}", me.id, me.key));
+            let core = lead.and_then(|lead| lead.core());
+            for server in core.map_or(&[][..], |core| core.servers()) {
+                let keys = server.renewers.iter().map(|peer| peer.key.to_string());
+                lines.push(format!(
+                    "  {} {:?} ordered {} x{} renewers {:?}",
+                    server.plan.key,
+                    server.phase,
+                    server.ordered.generation,
+                    server.ordered.ranges.len(),
+                    keys.collect::<Vec<_>>()
+                ));
+            }
+        }
+        for server in &self.servers {
+            let set = server.holder.set();
+            lines.push(format!(
+                "server holds {} x{}",
+                set.generation,
+                set.ranges.len()
+            ));
+        }
+        let mut waiting: BTreeMap<String, usize> = BTreeMap::new();
+        for delivery in self.queue.values() {
+            let packet = match &delivery.packet {
+                Packet::Peer { message, .. } => format!("{message:?}"),
+                packet => format!("{packet:?}"),
+            };
+            let kind: String = packet.chars().take_while(|c| *c != '(').collect();
+            let kind = format!("{:?} to {:?}: {kind}", delivery.from, delivery.to);
+            *waiting.entry(kind).or_default() += 1;
+        }
+        lines.push(format!("under way: {waiting:?}"));
+        lines.join("\n")
+    }
+
     /// Returns the instances that the record names as keepers of a server.
     pub fn keepers(&self, server: usize) -> Vec<usize> {
         let Some((text, _)) = &self.store else {
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -201,6 +201,47 @@
     assert_safe(&world);
 }
 
+fn unchecked() -> WorldOptions {
+    WorldOptions {
+        check: holder::FenceCheck::Absent,
+        ..WorldOptions::default()
+    }
+}
+
+#[test]
+fn killed_server_that_checks_nothing_is_replaced_within_a_second() {
+    for seed in 0..10 {
+        let mut world = settled(WorldOptions {
+            seed,
+            ..unchecked()
+        });
+        world.kill(Process::Server(0));
+        world.run(Duration::from_secs(3));
+        assert!(
+            world.longest_gap() <= SERVED_AGAIN,
+            "gap {:?}",
+            world.longest_gap()
+        );
+        assert_safe(&world);
+    }
+}
+
+#[test]
+fn unchecked_servers_wait_for_a_frozen_keeper_and_no_longer() {
+    let mut world = settled(unchecked());
+    let controller = world.controller().expect("a controller");
+    world.freeze(Process::Instance(controller));
+    world.run(Duration::from_secs(4));
+    world.kill(Process::Server(0));
+    world.run(Duration::from_secs(2));
+    world.thaw(Process::Instance(controller));
+    world.run(Duration::from_secs(1));
+    world.clear_gaps();
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.longest_gap(), Duration::ZERO, "{}", world.describe());
+    assert_safe(&world);
+}
+
 #[test]
 fn servers_that_check_nothing_are_still_owned_once() {
     let options = WorldOptions {
