Measure control slopes; react to news only

Cause: a controller reconciled on every report and every tick, with scans over all servers per range: quadratic work that cannot carry 600 servers. Ruled out: a smaller reconcile per server (rules span candidates). Change: reports that say nothing new cause no work, calm controllers look at everything every 500 ms, positions and owners are indexed once per pass; steady reports every 10 s in place of 1 s, silent ones every 200 ms; followers ask at 50 ms x their number. scripts/measure requests and capacity.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -26,8 +26,27 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Silence after which an instance is no longer chosen.
-pub const PEER_LIFE: Duration = Duration::from_millis(1500);
+/// Interval at which a few followers show that they are alive.
+const MIN_QUERY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Share of the query interval that each follower adds.
+const QUERY_SPACING: Duration = Duration::from_millis(50);
+
+/// Query intervals of silence after which an instance is no longer chosen.
+const PEER_LIFE_INTERVALS: u32 = 3;
+
+/// Interval of checks while nothing is under way.
+const CALM_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Returns the interval at which each of `followers` asks the controller.
+pub fn query_interval(followers: usize) -> Duration {
+    MIN_QUERY_INTERVAL.max(QUERY_SPACING * followers as u32)
+}
+
+/// Returns the silence after which one of `followers` counts as lost.
+pub fn peer_life(followers: usize) -> Duration {
+    query_interval(followers) * PEER_LIFE_INTERVALS
+}
 
 /// Pause between two writes of the record.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
@@ -129,6 +148,11 @@
     gone: server::GoneTimes,
     moves: HashMap<u64, ids::UpstreamKey>,
     started: Duration,
+    /// Position of each server.
+    positions: HashMap<ids::UpstreamKey, usize>,
+    /// Owner of each range, by position of both.
+    owners: Vec<Option<usize>>,
+    next_check: Duration,
     deposed: bool,
 }
 
@@ -157,6 +181,9 @@
             gone: server::GoneTimes::new(),
             moves: HashMap::new(),
             started: now,
+            positions: HashMap::new(),
+            owners: Vec::new(),
+            next_check: now,
             deposed: false,
         };
         core.on_peer(now, me);
@@ -225,9 +252,15 @@
                 if report.term > self.term {
                     return self.depose(report.term);
                 }
-                self.on_report(now, keeper, report);
+                if !self.on_report(now, keeper, report) && now < self.next_check {
+                    return Vec::new();
+                }
+            }
+            ControllerEvent::Peer(info) => {
+                if !self.on_peer(now, info) && now < self.next_check {
+                    return Vec::new();
+                }
             }
-            ControllerEvent::Peer(info) => self.on_peer(now, info),
             ControllerEvent::Gone(key) => {
                 self.gone.entry(key).or_insert(now);
             }
@@ -237,6 +270,7 @@
                     return self.depose(term);
                 }
             }
+            ControllerEvent::Tick if now < self.next_check => return Vec::new(),
             ControllerEvent::Tick => {}
         }
         self.reconcile(now)
@@ -254,6 +288,7 @@
             server::ServerState::new(plan.clone(), keepers)
         };
         self.servers = self.plan.servers.iter().map(state).collect();
+        self.index_servers();
         let ranges = self.recorded.ranges.iter().map(|entry| RangeState {
             range: entry.range,
             published: None,
@@ -262,26 +297,31 @@
         self.ranges = ranges.collect();
     }
 
-    fn on_report(&mut self, now: Duration, keeper: ids::InstanceKey, report: keeper::KeeperReport) {
-        let server = self
-            .servers
-            .iter_mut()
-            .find(|s| s.plan.key == report.upstream);
-        if let Some(server) = server {
-            server.on_report(now, keeper, report);
-        }
+    /// Takes a report in; returns whether it says anything new.
+    fn on_report(
+        &mut self,
+        now: Duration,
+        keeper: ids::InstanceKey,
+        report: keeper::KeeperReport,
+    ) -> bool {
+        let position = self.positions.get(&report.upstream).copied();
+        position.is_some_and(|position| self.servers[position].on_report(now, keeper, report))
     }
 
-    fn on_peer(&mut self, now: Duration, info: record::PeerInfo) {
-        let id = info.id.clone();
-        let entry = PeerEntry { info, heard: now };
-        let Some(old) = self.peers.insert(id, entry) else {
-            return;
+    /// Notes a sign of life; returns whether the instance or its run is new.
+    fn on_peer(&mut self, now: Duration, info: record::PeerInfo) -> bool {
+        let key = info.key;
+        let entry = PeerEntry {
+            info: info.clone(),
+            heard: now,
         };
-        let new_key = self.peers[&old.info.id].info.key;
-        if old.info.key != new_key {
+        let Some(old) = self.peers.insert(info.id, entry) else {
+            return true;
+        };
+        if old.info.key != key {
             self.gone.entry(old.info.key).or_insert(now);
         }
+        old.info.key != key
     }
 
     fn on_plan(&mut self, plan: ServicePlan) {
@@ -304,6 +344,7 @@
             server.plan.leaving |= !declared;
         }
         self.plan = plan;
+        self.index_servers();
     }
 
     /// Takes the outcome of a write in; returns a higher term if there is one.
@@ -338,16 +379,41 @@
         None
     }
 
+    fn index_servers(&mut self) {
+        let servers = self.servers.iter().enumerate();
+        self.positions = servers.map(|(index, s)| (s.plan.key, index)).collect();
+    }
+
+    fn index_owners(&mut self) {
+        let mut owners: HashMap<u64, usize> = HashMap::new();
+        for (index, server) in self.servers.iter().enumerate() {
+            let ranges = server.ordered.ranges.iter();
+            owners.extend(ranges.map(|range| (range.first, index)));
+        }
+        let owner = |state: &RangeState| owners.get(&state.range.first).copied();
+        self.owners = self.ranges.iter().map(owner).collect();
+    }
+
     fn reconcile(&mut self, now: Duration) -> Vec<ControllerAction> {
         let mut actions = Vec::new();
         self.note_restarts(now);
         self.update_phases(now);
         self.update_keepers(now);
+        self.index_owners();
         self.assign_ranges(now);
+        self.index_owners();
         self.finish_moves();
         self.send_orders(now, &mut actions);
         self.publish_routes(&mut actions);
         self.write_record(now, &mut actions);
+        let busy = self
+            .servers
+            .iter()
+            .any(|server| server.in_motion(self.term));
+        let busy = busy || !self.moves.is_empty() || self.owners.contains(&None);
+        if !busy {
+            self.next_check = now + CALM_INTERVAL;
+        }
         actions
     }
 
@@ -440,8 +506,8 @@
     }
 
     fn live_peers(&self, now: Duration) -> Vec<record::PeerInfo> {
-        let live =
-            |entry: &&PeerEntry| entry.info.key == self.me.key || now - entry.heard < PEER_LIFE;
+        let life = peer_life(self.peers.len());
+        let live = |entry: &&PeerEntry| entry.info.key == self.me.key || now - entry.heard < life;
         let mut peers: Vec<_> = self.peers.values().filter(live).collect();
         peers.sort_by_key(|entry| entry.info.key);
         peers.into_iter().map(|entry| entry.info.clone()).collect()
@@ -505,12 +571,7 @@
     }
 
     fn server(&self, key: ids::UpstreamKey) -> Option<&server::ServerState> {
-        self.servers.iter().find(|server| server.plan.key == key)
-    }
-
-    fn owner_of(&self, range: range::KeyRange) -> Option<usize> {
-        let owns = |server: &server::ServerState| server.ordered.ranges.contains(&range);
-        self.servers.iter().position(owns)
+        self.positions.get(&key).map(|index| &self.servers[*index])
     }
 
     fn assign_ranges(&mut self, now: Duration) {
@@ -534,7 +595,7 @@
 
     fn assign_range(&self, now: Duration, index: usize, wanted: &mut [Vec<range::KeyRange>]) {
         let range = self.ranges[index].range;
-        let owner = self.owner_of(range);
+        let owner = self.owners[index];
         let Some(target) = self.target_of(now, index, owner) else {
             return;
         };
@@ -569,9 +630,7 @@
             return Some(owner);
         }
         let key = planned.or_else(|| candidates.iter().find(|key| usable(key)))?;
-        self.servers
-            .iter()
-            .position(|server| server.plan.key == *key)
+        self.positions.get(key).copied()
     }
 
     /// Returns whether no candidate but `target` can hold the range.
@@ -633,7 +692,7 @@
 
     /// Returns the owner to publish; `None` while it is not certain.
     fn route_of(&self, index: usize) -> Option<Option<ids::UpstreamKey>> {
-        if let Some(owner) = self.owner_of(self.ranges[index].range) {
+        if let Some(owner) = self.owners[index] {
             let server = &self.servers[owner];
             let key = server.plan.key;
             return match server.phase {
@@ -654,12 +713,12 @@
         if now < self.next_write {
             return;
         }
-        self.next_write = now + WRITE_BACKOFF;
         let record = match &self.unresolved {
             Some(record) => record.clone(),
             None => {
                 let mut record = self.wanted_record(now);
                 if record == self.recorded {
+                    self.next_write = now + WRITE_INTERVAL;
                     return;
                 }
                 self.counter += 1;
@@ -667,6 +726,7 @@
                 record
             }
         };
+        self.next_write = now + WRITE_BACKOFF;
         self.unresolved = Some(record.clone());
         actions.push(ControllerAction::Write {
             record: Box::new(record),
@@ -728,7 +788,7 @@
             return recorded.clone();
         }
         let planned = self.moves.get(&self.ranges[index].range.first);
-        let owner = self.owner_of(self.ranges[index].range);
+        let owner = self.owners[index];
         let owner = owner.map(|owner| &self.servers[owner].plan);
         let mut list = record::CandidateList::new();
         list.extend(owner.map(|plan| plan.key));
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -18,7 +18,10 @@
 const ATTACH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval of unchanged reports to the controller.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Interval of reports that a server is silent.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time after which a charge without an order is given up.
 ///
@@ -214,7 +217,11 @@
                 });
             }
             let silent = silence >= grant::SUSPECT_AFTER;
-            if silent && !charge.silent || now - charge.reported >= REPORT_INTERVAL {
+            let interval = match silent && charge.renews(key) {
+                true => SILENCE_INTERVAL,
+                false => REPORT_INTERVAL,
+            };
+            if silent && !charge.silent || now - charge.reported >= interval {
                 charge.silent = silent;
                 let term = self.terms.get(&charge.service).copied().unwrap_or(0);
                 actions.push(charge.report(now, *upstream, term));
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -12,17 +12,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Interval of subscriptions to the controller.
-const SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Interval of the standby's subscriptions.
+/// Interval of the standby's queries.
 const STANDBY_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Silence after which the standby takes over.
 const STANDBY_PATIENCE: Duration = Duration::from_millis(600);
 
-/// Silence after which any instance takes over.
-const FOLLOWER_PATIENCE: Duration = Duration::from_millis(2000);
+/// Query intervals of silence after which any instance takes over.
+const FOLLOWER_PATIENCE_INTERVALS: u32 = 4;
 
 /// Largest extra silence, drawn per instance.
 const PATIENCE_SPREAD_MS: u64 = 1000;
@@ -48,6 +45,8 @@
     pub standby: Option<record::PeerInfo>,
     /// Whether the sender is the controller itself.
     pub leading: bool,
+    /// Instances that follow the service.
+    pub followers: u32,
     pub entries: Vec<routes::RouteEntry>,
 }
 
@@ -109,6 +108,7 @@
     term: u32,
     controller: record::PeerInfo,
     standby: Option<record::PeerInfo>,
+    followers: usize,
 }
 
 #[derive(Debug)]
@@ -127,7 +127,8 @@
     heard: Duration,
     queried: Duration,
     claimed: Duration,
-    patience: Duration,
+    /// Extra silence before this instance takes over.
+    spread: Duration,
     claim: Option<record::AssignmentRecord>,
     table: routes::RouteTable,
     followers: Vec<FollowerEntry>,
@@ -146,7 +147,7 @@
             heard: now,
             queried: Duration::ZERO,
             claimed: Duration::ZERO,
-            patience: FOLLOWER_PATIENCE + Duration::from_millis(spread),
+            spread: Duration::from_millis(spread),
             claim: None,
             table: routes::RouteTable::default(),
             followers: Vec::new(),
@@ -206,8 +207,9 @@
     }
 
     fn note_follower(&mut self, now: Duration, info: record::PeerInfo) {
+        let life = controller::peer_life(self.followers.len());
         self.followers
-            .retain(|entry| entry.info.id != info.id && now - entry.heard < controller::PEER_LIFE);
+            .retain(|entry| entry.info.id != info.id && now - entry.heard < life);
         self.followers.push(FollowerEntry { info, heard: now });
     }
 
@@ -227,6 +229,10 @@
             controller: leader.controller.clone(),
             standby: leader.standby.clone(),
             leading: self.core.is_some(),
+            followers: match self.core {
+                Some(_) => self.followers.len() as u32,
+                None => leader.followers as u32,
+            },
             entries,
         })
     }
@@ -251,6 +257,7 @@
                 term: update.term,
                 controller: update.controller,
                 standby: update.standby,
+                followers: update.followers as usize,
             });
         }
         actions
@@ -306,6 +313,7 @@
             term: record.term,
             controller: record.controller.clone(),
             standby: record.standby.clone(),
+            followers: 0,
         });
     }
 
@@ -327,6 +335,7 @@
             term,
             controller: self.me.clone(),
             standby: claim.standby.clone(),
+            followers: 0,
         });
         self.followers.clear();
         let me = self.me.clone();
@@ -404,15 +413,20 @@
         let patience = match (&self.leader, self.standby()) {
             (None, _) => Duration::ZERO,
             (Some(_), true) => STANDBY_PATIENCE,
-            (Some(_), false) => self.patience,
+            (Some(_), false) => self.query_interval() * FOLLOWER_PATIENCE_INTERVALS + self.spread,
         };
         self.plan.is_some() && now - self.heard >= patience
     }
 
+    fn query_interval(&self) -> Duration {
+        let followers = self.leader.as_ref().map_or(0, |leader| leader.followers);
+        controller::query_interval(followers)
+    }
+
     fn query_leader(&mut self, now: Duration) -> Vec<LeadAction> {
         let interval = match self.standby() {
             true => STANDBY_INTERVAL,
-            false => SUBSCRIBE_INTERVAL,
+            false => self.query_interval(),
         };
         let Some(leader) = &self.leader else {
             return Vec::new();
@@ -422,7 +436,7 @@
         }
         self.queried = now;
         let mut targets = vec![leader.controller.control];
-        if now - self.heard >= SUBSCRIBE_INTERVAL * 2 {
+        if now - self.heard >= interval * 2 {
             targets.extend(leader.standby.as_ref().map(|peer| peer.control));
         }
         targets.retain(|target| *target != self.me.control);
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,7 +20,7 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Age beyond which a report says nothing about the server's liveness.
-const REPORT_LIFE: Duration = Duration::from_millis(2500);
+const REPORT_LIFE: Duration = Duration::from_secs(25);
 
 /// When the runs of instances that are known to have ended did so, at the latest.
 pub type GoneTimes = HashMap<ids::InstanceKey, Duration>;
@@ -79,6 +79,15 @@
         self.report.server.is_some() && !self.silent()
     }
 
+    fn tells_same(&self, report: &keeper::KeeperReport) -> bool {
+        let old = &self.report;
+        old.term == report.term
+            && old.set.generation == report.set.generation
+            && old.sealed_to == report.sealed_to
+            && old.server == report.server
+            && self.hears() == (report.server.is_some() && report.silence < grant::SUSPECT_AFTER)
+    }
+
     /// Returns whether the keeper itself renews the set that it reports.
     ///
     /// A sealed set may have been given away already, and an instance that is
@@ -129,16 +138,17 @@
         }
     }
 
-    /// Takes a keeper's report in.
+    /// Takes a keeper's report in; returns whether it says anything new.
     pub fn on_report(
         &mut self,
         now: Duration,
         keeper: ids::InstanceKey,
         report: keeper::KeeperReport,
-    ) {
+    ) -> bool {
         let old = self.views.iter().position(|view| view.keeper == keeper);
         let old = old.map(|index| self.views.swap_remove(index));
         let generation = report.set.generation;
+        let news = old.as_ref().is_none_or(|old| !old.tells_same(&report));
         let same = old.filter(|old| old.report.set.generation == generation);
         let view = KeeperView {
             keeper,
@@ -153,6 +163,15 @@
         } else if silent && self.suspected.is_none() {
             self.suspected = Some(now);
         }
+        news
+    }
+
+    /// Returns whether something is under way that time alone may move on.
+    pub fn in_motion(&self, term: u32) -> bool {
+        let expired = self.phase == ServerPhase::Expired;
+        let settled = expired || self.phase == ServerPhase::Live && self.acked(term);
+        let renewed = expired || self.renewers.len() == self.ordered.keepers.len();
+        !settled || !renewed || self.suspected.is_some()
     }
 
     /// Returns whether the server accepted the ordered set and released the rest.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -371,6 +371,8 @@
     leading: bool,
     #[prost(message, repeated, tag = "6")]
     entries: Vec<RouteFrame>,
+    #[prost(uint32, tag = "7")]
+    followers: u32,
 }
 
 #[derive(Clone, Copy, Message, PartialEq)]
@@ -489,6 +491,7 @@
             controller: Some((&update.controller).into()),
             standby: update.standby.as_ref().map(InfoFrame::from),
             leading: update.leading,
+            followers: update.followers,
             entries: update.entries.iter().map(RouteFrame::from).collect(),
         }
     }
@@ -505,6 +508,7 @@
             controller: controller.try_into()?,
             standby: frame.standby.map(record::PeerInfo::try_from).transpose()?,
             leading: frame.leading,
+            followers: frame.followers,
             entries: frame.entries.into_iter().map(Into::into).collect(),
         })
     }
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -38,6 +38,43 @@
     pub work_us: u64,
 }
 
+impl LoadOptions {
+    /// Returns a load without keys and pauses.
+    pub fn unkeyed(team: &str, service: &str) -> LoadOptions {
+        LoadOptions {
+            targets: Vec::new(),
+            team: team.to_owned(),
+            service: service.to_owned(),
+            keys: 0,
+            skew_percent: 0,
+            shift: Duration::ZERO,
+            callers: 1,
+            duration: Duration::from_secs(1),
+            pause: Duration::ZERO,
+            method: Method::Get,
+            work_us: 0,
+        }
+    }
+
+    /// Sets the only target.
+    pub fn with_target(mut self, target: SocketAddr) -> LoadOptions {
+        self.targets = vec![target];
+        self
+    }
+
+    /// Sets the number of callers.
+    pub fn with_callers(mut self, callers: usize) -> LoadOptions {
+        self.callers = callers;
+        self
+    }
+
+    /// Sets the length of the load.
+    pub fn with_duration(mut self, duration: Duration) -> LoadOptions {
+        self.duration = duration;
+        self
+    }
+}
+
 /// Result of one run.
 #[derive(Debug)]
 pub struct LoadReport {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,7 +1,12 @@
 //! Stand-ins for the systems around godwitloom, and tools that measure it.
 
 pub mod caller;
+pub mod capacity;
+pub mod heap;
 pub mod http;
+pub mod load;
+pub mod path;
 pub mod platform;
+pub mod process;
 pub mod upstream;
 pub mod world;
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -1,1 +1,73 @@
-fn main() {}
+//! Measurements, run by `scripts/measure`.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use godwitloom_standins::{caller, capacity, heap, path};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+#[global_allocator]
+static HEAP: heap::CountingAllocator = heap::CountingAllocator;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let matches = command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("requests", args)) => path::run(&path_options(args)),
+        Some(("capacity", args)) => capacity::run(*args.get_one("seconds").expect("default")),
+        _ => unreachable!("clap requires a known subcommand"),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    clap::command!()
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("requests")
+                .about("Compare the path through one instance with the direct one")
+                .arg(address("instance"))
+                .arg(address("upstream"))
+                .arg(number("pid", "0"))
+                .arg(number("callers", "32"))
+                .arg(number("duration-ms", "8000")),
+        )
+        .subcommand(
+            Command::new("capacity")
+                .about("Measure the control cores at several sizes")
+                .arg(number("seconds", "20")),
+        )
+}
+
+fn address(name: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .required(true)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn number(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+}
+
+fn path_options(args: &ArgMatches) -> path::PathOptions {
+    let value = |name: &str| *args.get_one::<u64>(name).expect("has a default");
+    path::PathOptions {
+        instance: *args.get_one("instance").expect("required"),
+        upstream: *args.get_one("upstream").expect("required"),
+        pid: value("pid") as u32,
+        load: caller::LoadOptions::unkeyed("dryline", "ratecard")
+            .with_callers(value("callers") as usize)
+            .with_duration(std::time::Duration::from_millis(value("duration-ms"))),
+    }
+}
