--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod capacity;
+pub mod failover;
 pub mod heap;
 pub mod http;
 pub mod load;
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -1,7 +1,7 @@
 //! Measurements, run by `scripts/measure`.
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use godwitloom_standins::{caller, capacity, heap, path};
+use godwitloom_standins::{caller, capacity, failover, heap, path};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
@@ -13,6 +13,7 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("requests", args)) => path::run(&path_options(args)),
+        Some(("failover", args)) => failover::run(*args.get_one("seeds").expect("default")),
         Some(("capacity", args)) => capacity::run(*args.get_one("seconds").expect("default")),
         _ => unreachable!("clap requires a known subcommand"),
     };
@@ -37,6 +38,11 @@
                 .arg(number("callers", "32"))
                 .arg(number("duration-ms", "8000")),
         )
+        .subcommand(
+            Command::new("failover")
+                .about("Measure unserved time after single losses")
+                .arg(number("seeds", "40")),
+        )
         .subcommand(
             Command::new("capacity")
                 .about("Measure the control cores at several sizes")
