Let servers report a keeper that stopped answering

Cause: a lost instance is noticed by its missing queries, which come every 67 s among 670 instances; until then its servers have one keeper. Ruled out: faster queries (10 more bytes per second and follower are over the budget of the controller's node). Change: a heartbeat names a keeper that has not answered for a second while another does; the controller replaces it for that server and does not choose it again for a minute.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -534,11 +534,12 @@
             if !settled {
                 continue;
             }
-            if server.keeps_with(&peers) {
+            if server.keeps_with(now, &peers) {
                 continue;
             }
             let stored = self.stored_keepers(server.plan.key);
             let mut live = stored;
+            live.retain(|peer| server.accepts(now, peer.key));
             live.retain(|peer| peers.binary_search_by_key(&peer.key, |p| p.key).is_ok());
             live.sort_by_key(|peer| peer.key);
             let chosen = placement::choose_keepers(&server.plan, &server.ordered.keepers, &live);
@@ -740,7 +741,7 @@
         let standby = self.recorded.standby.as_ref().map(|peer| peer.key);
         let keepers = self.servers.iter().map(|server| record::KeeperEntry {
             upstream: server.plan.key,
-            keepers: self.wanted_keepers(server, &peers),
+            keepers: self.wanted_keepers(now, server, &peers),
         });
         let usable = self.servers.iter();
         let usable = usable.filter(|s| s.phase == server::ServerPhase::Live && !s.leaving());
@@ -761,11 +762,18 @@
 
     fn wanted_keepers(
         &self,
+        now: Duration,
         server: &server::ServerState,
         peers: &[record::PeerInfo],
     ) -> Vec<record::PeerInfo> {
         let mut keepers = server.renewers.clone();
-        for peer in placement::choose_keepers(&server.plan, &server.ordered.keepers, peers) {
+        if server.keeps_with(now, peers) {
+            keepers.sort_by_key(|peer| peer.key);
+            return keepers;
+        }
+        let mut peers = peers.to_vec();
+        peers.retain(|peer| server.accepts(now, peer.key));
+        for peer in placement::choose_keepers(&server.plan, &server.ordered.keepers, &peers) {
             if !keepers.contains(&peer) {
                 keepers.push(peer);
             }
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -14,6 +14,9 @@
 /// Number of heartbeats whose answers are still accepted.
 const MAX_PENDING_HEARTBEATS: usize = 16;
 
+/// Silence after which a server counts one of its keepers as missing.
+pub const KEEPER_PATIENCE: Duration = Duration::from_millis(1000);
+
 /// Whether a server compares fence numbers before it obeys an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FenceCheck {
@@ -36,6 +39,8 @@
     pub releasing: bool,
     /// Whether the server asks for its keys to be moved away.
     pub leaving: bool,
+    /// Keeper of the accepted set that stopped renewing while another goes on.
+    pub missing: Option<ids::InstanceKey>,
 }
 
 /// Extension of the grant set that the server holds.
@@ -66,6 +71,8 @@
     expiry: Duration,
     seq: u64,
     pending: VecDeque<(u64, Duration)>,
+    /// Last answered heartbeat of each keeper of the set.
+    renewed: SmallVec<[(ids::InstanceKey, Duration); 3]>,
     work: HashMap<WorkKey, range::KeyHash>,
     next_work: u64,
     leaving: bool,
@@ -82,6 +89,7 @@
             expiry: Duration::ZERO,
             seq: 0,
             pending: VecDeque::new(),
+            renewed: SmallVec::new(),
             work: HashMap::new(),
             next_work: 0,
             leaving: false,
@@ -107,7 +115,20 @@
             accepted: self.set.generation,
             releasing: self.releasing(),
             leaving: self.leaving,
+            missing: self.missing_keeper(now),
+        }
+    }
+
+    /// Returns a keeper that does not answer while another does.
+    ///
+    /// If none answers, the server itself may have been frozen or cut off.
+    fn missing_keeper(&self, now: Duration) -> Option<ids::InstanceKey> {
+        let fresh = |(_, at): &(ids::InstanceKey, Duration)| now - *at < KEEPER_PATIENCE;
+        if !self.renewed.iter().any(fresh) {
+            return None;
         }
+        let missing = self.renewed.iter().find(|renewed| !fresh(renewed));
+        missing.map(|(keeper, _)| *keeper)
     }
 
     /// Extends the grant if `renewal` answers a heartbeat of this server.
@@ -120,6 +141,10 @@
             return;
         }
         if let Some(sent) = self.sent_at(renewal.seq) {
+            let renewed = self.renewed.iter_mut().find(|(key, _)| *key == keeper);
+            if let Some((_, at)) = renewed {
+                *at = sent.max(*at);
+            }
             self.extend(sent);
         }
     }
@@ -140,9 +165,21 @@
             self.expiry = Duration::ZERO;
         }
         self.set = order.set;
+        self.note_keepers(now);
         self.extend(sent);
     }
 
+    /// Follows the keepers of the set; new ones count as heard now.
+    fn note_keepers(&mut self, now: Duration) {
+        let keepers = &self.set.keepers;
+        self.renewed.retain(|(key, _)| keepers.contains(key));
+        for keeper in keepers {
+            if !self.renewed.iter().any(|(key, _)| key == keeper) {
+                self.renewed.push((*keeper, now));
+            }
+        }
+    }
+
     /// Returns whether this server owns `hash` now.
     pub fn owns(&self, now: Duration, hash: range::KeyHash) -> bool {
         now < self.expiry && self.set.contains(hash)
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -66,6 +66,7 @@
     pub accepted: grant::GrantGeneration,
     pub releasing: bool,
     pub leaving: bool,
+    pub missing: Option<ids::InstanceKey>,
 }
 
 /// Input of the keeper.
@@ -313,6 +314,7 @@
             accepted: heartbeat.accepted,
             releasing: heartbeat.releasing,
             leaving: heartbeat.leaving,
+            missing: heartbeat.missing,
         });
         let report = KeeperReport {
             service: self.service,
--- a/src/server.rs
+++ b/src/server.rs
@@ -20,6 +20,9 @@
 /// Interval of repeated orders that were not answered.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which a keeper that a server reported missing is not chosen for it.
+const ABSENCE: Duration = Duration::from_secs(60);
+
 /// Age beyond which a report says nothing about the server's liveness.
 const REPORT_LIFE: Duration = Duration::from_secs(25);
 
@@ -121,6 +124,8 @@
     /// Keepers that may still renew the server.
     pub renewers: Vec<record::PeerInfo>,
     views: SmallVec<[KeeperView; 3]>,
+    /// Keepers that the server reported missing, and when.
+    absent: SmallVec<[(ids::InstanceKey, Duration); 2]>,
     suspected: Option<Duration>,
     sent: Duration,
 }
@@ -134,6 +139,7 @@
             ordered: grant::GrantSet::default(),
             renewers,
             views: SmallVec::new(),
+            absent: SmallVec::new(),
             suspected: None,
             sent: Duration::ZERO,
         }
@@ -149,6 +155,9 @@
         let old = self.views.iter().position(|view| view.keeper == keeper);
         let old = old.map(|index| self.views.swap_remove(index));
         let generation = report.set.generation;
+        if let Some(missing) = report.server.and_then(|server| server.missing) {
+            self.note_absent(now, missing);
+        }
         let news = old.as_ref().is_none_or(|old| !old.tells_same(&report));
         let same = old.filter(|old| old.report.set.generation == generation);
         let view = KeeperView {
@@ -167,6 +176,18 @@
         news
     }
 
+    fn note_absent(&mut self, now: Duration, keeper: ids::InstanceKey) {
+        self.absent
+            .retain(|(key, since)| *key != keeper && now - *since < ABSENCE);
+        self.absent.push((keeper, now));
+    }
+
+    /// Returns whether an instance may be a keeper of this server.
+    pub fn accepts(&self, now: Duration, keeper: ids::InstanceKey) -> bool {
+        let absent = |(key, since): &(_, Duration)| *key == keeper && now - *since < ABSENCE;
+        !self.absent.iter().any(absent)
+    }
+
     /// Returns whether something is under way that time alone may move on.
     pub fn in_motion(&self, term: u32) -> bool {
         let expired = self.phase == ServerPhase::Expired;
@@ -256,8 +277,11 @@
     }
 
     /// Returns whether all ordered keepers are among `peers`, ordered by key.
-    pub fn keeps_with(&self, peers: &[record::PeerInfo]) -> bool {
-        let live = |key| peers.binary_search_by_key(key, |peer| peer.key).is_ok();
+    pub fn keeps_with(&self, now: Duration, peers: &[record::PeerInfo]) -> bool {
+        let live = |key: &ids::InstanceKey| {
+            let found = peers.binary_search_by_key(key, |peer| peer.key).is_ok();
+            found && self.accepts(now, *key)
+        };
         let keepers = &self.ordered.keepers;
         keepers.len() == placement::KEEPERS_PER_SERVER && keepers.iter().all(live)
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -180,6 +180,8 @@
     releasing: bool,
     #[prost(bool, tag = "6")]
     leaving: bool,
+    #[prost(fixed64, optional, tag = "7")]
+    missing: Option<u64>,
 }
 
 impl From<&holder::Heartbeat> for HeartbeatFrame {
@@ -191,6 +193,7 @@
             accepted: Some(heartbeat.accepted.into()),
             releasing: heartbeat.releasing,
             leaving: heartbeat.leaving,
+            missing: heartbeat.missing.map(|key| key.0),
         }
     }
 }
@@ -204,6 +207,7 @@
             accepted: frame.accepted.unwrap_or_default().into(),
             releasing: frame.releasing,
             leaving: frame.leaving,
+            missing: frame.missing.map(ids::InstanceKey),
         }
     }
 }
@@ -461,6 +465,8 @@
     releasing: bool,
     #[prost(bool, tag = "4")]
     leaving: bool,
+    #[prost(fixed64, optional, tag = "5")]
+    missing: Option<u64>,
 }
 
 impl From<&lead::RouteQuery> for QueryFrame {
@@ -572,6 +578,7 @@
                 accepted: Some(server.accepted.into()),
                 releasing: server.releasing,
                 leaving: server.leaving,
+                missing: server.missing.map(|key| key.0),
             }),
         }
     }
@@ -587,6 +594,7 @@
             accepted: server.accepted.unwrap_or_default().into(),
             releasing: server.releasing,
             leaving: server.leaving,
+            missing: server.missing.map(ids::InstanceKey),
         });
         Ok(keeper::KeeperReport {
             service: ids::ServiceKey(frame.service),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -345,6 +345,7 @@
                 accepted: set.generation,
                 releasing: false,
                 leaving: false,
+                missing: None,
             }),
             set,
         };
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -48,6 +48,7 @@
             accepted: set.generation,
             releasing: false,
             leaving: false,
+            missing: None,
         }),
         set,
     }
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -201,6 +201,27 @@
     assert_safe(&world);
 }
 
+#[test]
+fn lost_keeper_is_replaced_within_three_seconds_among_many_instances() {
+    let mut world = settled(WorldOptions {
+        instances: 60,
+        ..WorldOptions::default()
+    });
+    let controller = world.controller().expect("a controller");
+    let keepers = world.keepers(0);
+    let lost = keepers.into_iter().find(|index| *index != controller);
+    let lost = lost.expect("another keeper");
+    world.kill(Process::Instance(lost));
+    world.run(Duration::from_secs(3));
+    let keepers = world.keepers(0);
+    assert!(
+        !keepers.contains(&lost) && keepers.len() == 2,
+        "{keepers:?}"
+    );
+    assert_eq!(world.longest_gap(), Duration::ZERO);
+    assert_safe(&world);
+}
+
 fn unchecked() -> WorldOptions {
     WorldOptions {
         check: holder::FenceCheck::Absent,
--- a/tests/grants.rs
+++ b/tests/grants.rs
@@ -147,6 +147,7 @@
         accepted,
         releasing: false,
         leaving: false,
+        missing: None,
     };
     let actions = table.step(START, keeper::KeeperEvent::Heartbeat(heartbeat));
     let answers =
