Bind grant sets to one run of a server; split the controller by job

Cause: 168,000 fuzzed steps found two owners: a keeper that was left out of a server's set while it was frozen and cut off came back after the server had been restarted. The restarted server knows no fence number and took the old set. Ruled out: the leveling added before (the minimal sequence has no planned move); a lost seal (the server was expired and its ranges given away properly). Change: a grant set names the server's run; servers and keepers ignore sets of another run, and a controller that sees a new run first waits out the former one. controller.rs (904 lines) is divided into controller, evidence, assign and recording. A fence on the server's memory alone is not enough when servers restart.

--- a/src/grant.rs
+++ b/src/grant.rs
@@ -57,6 +57,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct GrantSet {
     pub generation: GrantGeneration,
+    /// Run of the server that the set is for; another run never takes it.
+    pub incarnation: u64,
     /// Instances whose renewals the server accepts.
     pub keepers: KeeperList,
     pub ranges: Vec<range::KeyRange>,
--- a/src/holder.rs
+++ b/src/holder.rs
@@ -155,6 +155,9 @@
         if fenced && order.set.generation <= self.set.generation {
             return;
         }
+        if order.set.incarnation != self.incarnation {
+            return;
+        }
         let Some(sent) = self.sent_at(order.seq) else {
             return;
         };
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -273,7 +273,8 @@
         key: ids::InstanceKey,
         heartbeat: holder::Heartbeat,
     ) -> Option<KeeperAction> {
-        if !self.renews(key) || heartbeat.accepted > self.set.generation {
+        let other_run = heartbeat.incarnation != self.set.incarnation;
+        if other_run || !self.renews(key) || heartbeat.accepted > self.set.generation {
             return None;
         }
         self.renewed = Some(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! server's side of grants ([`holder`]), their renewal ([`keeper`]), assignment
 //! ([`controller`]) and leadership ([`lead`]). The daemon around them is thin.
 
+mod assign;
 pub mod balance;
 pub mod body;
 pub mod budget;
@@ -14,6 +15,7 @@
 pub mod controller;
 pub mod daemon;
 pub mod document;
+mod evidence;
 pub mod exchange;
 pub mod grant;
 pub mod holder;
@@ -31,6 +33,7 @@
 pub mod proxy;
 pub mod range;
 pub mod record;
+mod recording;
 pub mod refusal;
 pub mod routes;
 pub mod server;
--- a/src/server.rs
+++ b/src/server.rs
@@ -193,7 +193,7 @@
         let expired = self.phase == ServerPhase::Expired;
         let settled = expired || self.phase == ServerPhase::Live && self.acked(term);
         let renewed = expired || self.renewers.len() == self.ordered.keepers.len();
-        !settled || !renewed || self.suspected.is_some()
+        !settled || !renewed || self.suspected.is_some() || self.runs_anew()
     }
 
     /// Returns whether the server accepted the ordered set and released the rest.
@@ -292,10 +292,23 @@
         self.views.iter().any(hears)
     }
 
-    /// Returns whether a keeper heard the server after `since`.
+    /// Returns whether a keeper heard the run that holds the ordered set after `since`.
     pub fn heard_after(&self, since: Duration) -> bool {
         let heard = |view: &KeeperView| view.heard().is_some_and(|heard| heard > since);
-        self.views.iter().any(heard)
+        !self.runs_anew() && self.views.iter().any(heard)
+    }
+
+    /// Returns the run of the server that was heard last; 0 if none was.
+    pub fn incarnation(&self) -> u64 {
+        let latest = self.views.iter().max_by_key(|view| view.heard());
+        let server = latest.and_then(|view| view.report.server);
+        server.map_or(0, |server| server.incarnation)
+    }
+
+    /// Returns whether the server runs anew since the ordered set was issued.
+    pub fn runs_anew(&self) -> bool {
+        let incarnation = self.incarnation();
+        incarnation != 0 && incarnation != self.ordered.incarnation
     }
 
     /// Returns when the sealed grant has ended; `None` while a keeper may renew it.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -129,6 +129,8 @@
     /// First and last hash of each range in turn.
     #[prost(fixed64, repeated, tag = "3")]
     bounds: Vec<u64>,
+    #[prost(fixed64, tag = "4")]
+    incarnation: u64,
 }
 
 impl From<&grant::GrantSet> for SetFrame {
@@ -141,6 +143,7 @@
             generation: Some(set.generation.into()),
             keepers: set.keepers.iter().map(|key| key.0).collect(),
             bounds: bounds.collect(),
+            incarnation: set.incarnation,
         }
     }
 }
@@ -160,6 +163,7 @@
         });
         Ok(grant::GrantSet {
             generation: generation.into(),
+            incarnation: frame.incarnation,
             keepers: frame.keepers.into_iter().map(ids::InstanceKey).collect(),
             ranges: ranges.collect(),
         })
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -169,6 +169,7 @@
                 term: 1,
                 counter: index as u32 + 1,
             },
+            incarnation: 1,
             keepers: [me.key, peer(1).key].into_iter().collect(),
             ranges,
         }),
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -29,6 +29,7 @@
 fn set(term: u32, counter: u32, keepers: &[&str]) -> grant::GrantSet {
     grant::GrantSet {
         generation: grant::GrantGeneration { term, counter },
+        incarnation: 1,
         keepers: keepers.iter().map(|name| instance(name).key).collect(),
         ranges: range::KeyRange::split_space(1),
     }
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -142,6 +142,30 @@
     assert_safe(&world);
 }
 
+#[test]
+fn former_keeper_that_thaws_grants_nothing_to_a_restarted_server() {
+    let mut world = settled(WorldOptions::default());
+    let controller = world.controller().expect("a controller");
+    let keepers = world.keepers(0);
+    let keeper = keepers.into_iter().find(|index| *index != controller);
+    let keeper = keeper.expect("another keeper");
+    world.freeze(Process::Instance(keeper));
+    for other in (0..5).filter(|index| *index != keeper) {
+        world.cut(Process::Instance(other), Process::Instance(keeper));
+    }
+    world.run(Duration::from_secs(5));
+    assert!(!world.keepers(0).contains(&keeper), "replaced");
+    world.kill(Process::Server(0));
+    world.run(Duration::from_secs(2));
+    for other in (0..5).filter(|index| *index != keeper) {
+        world.cut(Process::Instance(other), Process::Server(0));
+    }
+    world.restart(Process::Server(0));
+    world.thaw(Process::Instance(keeper));
+    world.run(Duration::from_secs(3));
+    assert_safe(&world);
+}
+
 #[test]
 fn all_instances_replaced_at_once_recover() {
     let mut world = settled(WorldOptions::default());
--- a/tests/grants.rs
+++ b/tests/grants.rs
@@ -18,6 +18,7 @@
 fn set(term: u32, counter: u32) -> grant::GrantSet {
     grant::GrantSet {
         generation: generation(term, counter),
+        incarnation: 1,
         keepers: [KEEPER].into_iter().collect(),
         ranges: range::KeyRange::split_space(1),
     }
@@ -74,6 +75,20 @@
     assert!(!state.owns(START + grant::LEASE_TTL, HASH));
 }
 
+#[test]
+fn set_for_a_former_run_is_refused() {
+    for check in [holder::FenceCheck::Enforced, holder::FenceCheck::Absent] {
+        let mut state = holder::HolderState::new(UPSTREAM, 2, check);
+        let heartbeat = state.heartbeat(START);
+        let order = holder::GrantOrder {
+            seq: heartbeat.seq,
+            set: set(1, 1),
+        };
+        state.on_grant(START + MILLI, order);
+        assert!(!state.owns(START + MILLI, HASH));
+    }
+}
+
 #[test]
 fn older_set_is_refused() {
     let mut state = granted();
@@ -140,9 +155,17 @@
 /// Sends a heartbeat of a server that holds `accepted`; returns whether the
 /// keeper answered it.
 fn beat(table: &mut keeper::KeeperTable, accepted: grant::GrantGeneration) -> bool {
+    beat_of_run(table, accepted, 1)
+}
+
+fn beat_of_run(
+    table: &mut keeper::KeeperTable,
+    accepted: grant::GrantGeneration,
+    incarnation: u64,
+) -> bool {
     let heartbeat = holder::Heartbeat {
         upstream: UPSTREAM,
-        incarnation: 1,
+        incarnation,
         seq: 1,
         accepted,
         releasing: false,
@@ -177,6 +200,14 @@
     assert!(!beat(&mut table, generation(0, 0)));
 }
 
+#[test]
+fn keeper_leaves_a_new_run_of_the_server_to_the_controller() {
+    let mut table = keeper::KeeperTable::new(KEEPER);
+    obey(&mut table, order(1, Some(set(1, 1))));
+    assert!(!beat_of_run(&mut table, generation(0, 0), 2));
+    assert!(beat_of_run(&mut table, generation(0, 0), 1));
+}
+
 #[test]
 fn sealed_keeper_answers_only_a_newer_set() {
     let mut table = keeper::KeeperTable::new(KEEPER);
