--- a/src/cmd/gone.rs
+++ b/src/cmd/gone.rs
@@ -1,9 +1,7 @@
 use super::CommandError;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command};
 use godwitloom::exchange;
 use http_types::Method;
-use std::net::SocketAddr;
-use std::time::Duration;
 
 static USAGE: &str = "\
 Tells an instance that a run of another instance has ended for good.
@@ -15,19 +13,11 @@
 
 Send it to the service's controller, which `godwitloom status` names.";
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-
 pub fn command() -> Command {
     Command::new("gone")
         .about("Vouch that a run of an instance has ended")
         .long_about(USAGE)
-        .arg(
-            Arg::new("operators")
-                .required(true)
-                .value_name("IP:PORT")
-                .value_parser(value_parser!(SocketAddr))
-                .help("Operators' address of the controller"),
-        )
+        .arg(super::operators_arg("Operators' address of the controller"))
         .arg(
             Arg::new("run")
                 .required(true)
@@ -39,7 +29,7 @@
 pub fn run(args: &ArgMatches) -> Result<(), CommandError> {
     let address = super::address(args, "operators");
     let path = format!("/gone?key={}", super::required(args, "run"));
-    let call = exchange::call(address, Method::Post, &path, "", CALL_TIMEOUT);
+    let call = exchange::call(address, Method::Post, &path, "", super::CALL_TIMEOUT);
     let answer = async_io::block_on(call)?;
     if answer.status != 200 {
         return Err(CommandError::Refused {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,11 +6,16 @@
 mod serve;
 mod status;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use godwitloom::{daemon, document, exchange, subtree};
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 use thiserror::Error;
 
+/// Time allowed to a call to an instance.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Exit code for settings or arguments that cannot be used.
 const USAGE_EXIT: u8 = 2;
 
@@ -82,6 +87,15 @@
 }
 
 /// Returns a required address argument.
-fn address(args: &ArgMatches, name: &str) -> std::net::SocketAddr {
+fn address(args: &ArgMatches, name: &str) -> SocketAddr {
     *args.get_one(name).expect("argument is required")
 }
+
+/// Returns the argument for an instance's operators' address.
+fn operators_arg(help: &'static str) -> Arg {
+    Arg::new("operators")
+        .required(true)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,9 +1,8 @@
 use super::CommandError;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command};
 use godwitloom::{exchange, operators, range};
 use http_types::Method;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 static USAGE: &str = "\
 Prints what an instance knows: configuration, controllers and owners.
@@ -11,19 +10,11 @@
 With --service and --key, prints the owner of that key only. Calls end after
 five seconds.";
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-
 pub fn command() -> Command {
     Command::new("status")
         .about("Print what an instance knows")
         .long_about(USAGE)
-        .arg(
-            Arg::new("operators")
-                .required(true)
-                .value_name("IP:PORT")
-                .value_parser(value_parser!(SocketAddr))
-                .help("Operators' address of the instance"),
-        )
+        .arg(super::operators_arg("Operators' address of the instance"))
         .arg(
             Arg::new("service")
                 .long("service")
@@ -81,7 +72,13 @@
     }
 
     fn fetch(&self) -> Result<String, CommandError> {
-        let call = exchange::call(self.address, Method::Get, "/status", "", CALL_TIMEOUT);
+        let call = exchange::call(
+            self.address,
+            Method::Get,
+            "/status",
+            "",
+            super::CALL_TIMEOUT,
+        );
         let answer = async_io::block_on(call)?;
         match answer.status {
             200 => Ok(answer.body),
--- a/src/control.rs
+++ b/src/control.rs
@@ -16,7 +16,6 @@
 use crate::proxy;
 use crate::record;
 use crate::settings;
-use crate::subtree;
 use crate::upstream;
 use crate::view;
 use crate::wire;
@@ -34,9 +33,6 @@
 /// Interval of the core's timer.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Pause after a failed call to the platform's service.
-const PLATFORM_BACKOFF: Duration = Duration::from_millis(500);
-
 /// Interval at which idle connections to upstreams are trimmed.
 const TRIM_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -63,30 +59,30 @@
 }
 
 #[derive(Debug)]
-struct ServiceState {
-    team: Arc<str>,
-    config: Arc<config::ServiceConfig>,
-    budget: Arc<crate::budget::RetryBudget>,
-    pools: HashMap<ids::UpstreamKey, Arc<upstream::UpstreamPool>>,
+pub(crate) struct ServiceState {
+    pub(crate) team: Arc<str>,
+    pub(crate) config: Arc<config::ServiceConfig>,
+    pub(crate) budget: Arc<crate::budget::RetryBudget>,
+    pub(crate) pools: HashMap<ids::UpstreamKey, Arc<upstream::UpstreamPool>>,
 }
 
 /// State of the control thread.
 pub struct ControlThread {
     pub core: RefCell<node::NodeCore>,
     pub context: Arc<proxy::ProxyContext>,
-    clock: Box<dyn clock::Clock>,
-    executor: Rc<LocalExecutor<'static>>,
-    links: link::LinkSet,
-    servers: Async<UdpSocket>,
-    platform: platform::PlatformClient,
-    metrics: Arc<metrics::MetricSet>,
+    pub(crate) clock: Box<dyn clock::Clock>,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) links: link::LinkSet,
+    pub(crate) servers: Async<UdpSocket>,
+    pub(crate) platform: platform::PlatformClient,
+    pub(crate) metrics: Arc<metrics::MetricSet>,
     /// Version of each team's configuration in force.
-    teams: RefCell<BTreeMap<String, u64>>,
-    services: RefCell<HashMap<ids::ServiceKey, ServiceState>>,
+    pub(crate) teams: RefCell<BTreeMap<String, u64>>,
+    pub(crate) services: RefCell<HashMap<ids::ServiceKey, ServiceState>>,
     /// Instances among which an upstream's connections are shared.
-    instances: Cell<usize>,
+    pub(crate) instances: Cell<usize>,
     /// Whether the configuration has been read.
-    configured: Cell<bool>,
+    pub(crate) configured: Cell<bool>,
 }
 
 impl ControlThread {
@@ -302,24 +298,6 @@
         }
     }
 
-    /// Adapts this instance's share of connections to the number of instances.
-    ///
-    /// A smaller number is followed slowly: right after a change of controller
-    /// it is not complete yet.
-    fn share_connections(&self) {
-        let found = self.core.borrow().instances();
-        let Some(found) = found.filter(|found| *found != self.instances.get()) else {
-            return;
-        };
-        self.instances.set(found.max(self.instances.get() - 1));
-        for state in self.services.borrow().values() {
-            let share = state.config.connections / self.instances.get();
-            for pool in state.pools.values() {
-                pool.set_limit(share.max(1));
-            }
-        }
-    }
-
     fn record_key(&self, service: ids::ServiceKey) -> Option<String> {
         let services = self.services.borrow();
         let state = services.get(&service)?;
@@ -390,81 +368,8 @@
         }
     }
 
-    async fn watch_config(this: Rc<Self>) {
-        let mut after = 0;
-        loop {
-            match this.platform.watch(config::CONFIG_PREFIX, after).await {
-                Ok(answer) => {
-                    after = after.max(answer.revision);
-                    for entry in answer.entries {
-                        this.take_config(&entry);
-                    }
-                    this.configured.set(true);
-                }
-                Err(error) => {
-                    log::debug!("configuration not watched: {error}");
-                    Timer::after(PLATFORM_BACKOFF).await;
-                }
-            }
-        }
-    }
-
-    fn take_config(self: &Rc<Self>, entry: &platform::StoredEntry) {
-        let Some(team) = entry.key.strip_prefix(config::CONFIG_PREFIX) else {
-            return;
-        };
-        let version = match subtree::SubtreeVersion::decode(&entry.key, &entry.value) {
-            Ok(version) => version,
-            Err(error) => return log::error!("configuration not applied: {error}"),
-        };
-        let known = self.teams.borrow().get(team).copied().unwrap_or(0);
-        if version.version <= known {
-            return;
-        }
-        match config::TeamConfig::parse(&entry.key, team, &version.text) {
-            Ok(config) => self.apply_config(config, version.version),
-            Err(error) => log::error!("configuration not applied: {error}"),
-        }
-    }
-
-    fn apply_config(self: &Rc<Self>, config: config::TeamConfig, version: u64) {
-        log::info!("team {}: configuration {version} in force", config.team);
-        for service in &config.services {
-            self.apply_service(&config.team, service);
-        }
-        let plans = config.services.iter().filter(|service| service.keyed);
-        let plans: Vec<_> = plans.map(controller::ServicePlan::from).collect();
-        self.teams.borrow_mut().insert(config.team, version);
-        for plan in plans {
-            self.handle(node::NodeEvent::Plan(plan));
-        }
-        self.publish();
-    }
-
-    fn apply_service(&self, team: &str, config: &config::ServiceConfig) {
-        let mut services = self.services.borrow_mut();
-        let state = services.entry(config.key).or_insert_with(|| ServiceState {
-            team: team.into(),
-            config: Arc::new(config.clone()),
-            budget: Arc::default(),
-            pools: HashMap::new(),
-        });
-        let share = (config.connections / self.instances.get()).max(1);
-        let old = std::mem::take(&mut state.pools);
-        for declared in &config.upstreams {
-            let same = old
-                .get(&declared.key)
-                .filter(|pool| pool.config == *declared);
-            let new = || Arc::new(upstream::UpstreamPool::new(declared.clone(), share));
-            let pool = same.cloned().unwrap_or_else(new);
-            pool.set_limit(share);
-            state.pools.insert(declared.key, pool);
-        }
-        state.config = Arc::new(config.clone());
-    }
-
     /// Publishes configuration and routes to the traffic threads.
-    fn publish(&self) {
+    pub(crate) fn publish(&self) {
         let core = self.core.borrow();
         let services = self.services.borrow();
         let view = services.values().map(|state| {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -5,7 +5,6 @@
 //! standby sooner than the others; the swap makes terms unique.
 
 use crate::controller;
-use crate::grant;
 use crate::ids;
 use crate::record;
 use crate::routes;
@@ -27,38 +26,6 @@
 /// Pause between two attempts to read or claim the record.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Follower's request for routes, and its sign of life.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RouteQuery {
-    pub service: ids::ServiceKey,
-    pub from: record::PeerInfo,
-    /// Term that the follower knows of; 0 if none.
-    pub term: u32,
-    /// Digest of the routes the follower has.
-    pub digest: u64,
-}
-
-/// Who controls a service, and who takes over first.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct LeaderPair {
-    pub controller: record::PeerInfo,
-    pub standby: Option<record::PeerInfo>,
-}
-
-/// What an instance knows of a service, sent to its followers.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RouteUpdate {
-    pub service: ids::ServiceKey,
-    pub term: u32,
-    /// Absent if the receiver knows it already.
-    pub pair: Option<LeaderPair>,
-    /// Whether the sender is the controller itself.
-    pub leading: bool,
-    /// Instances that follow the service.
-    pub followers: u32,
-    pub entries: Vec<routes::RouteEntry>,
-}
-
 /// Result of reading the record.
 #[derive(Clone, Debug)]
 pub enum ReadResult {
@@ -74,8 +41,8 @@
 #[derive(Clone, Debug)]
 pub enum LeadEvent {
     Plan(controller::ServicePlan),
-    Query(RouteQuery),
-    Update(RouteUpdate),
+    Query(routes::RouteQuery),
+    Update(routes::RouteUpdate),
     Read(ReadResult),
     Control(controller::ControllerEvent),
     Tick,
@@ -86,11 +53,11 @@
 pub enum LeadAction {
     Query {
         to: SocketAddr,
-        query: RouteQuery,
+        query: routes::RouteQuery,
     },
     Update {
         to: SocketAddr,
-        update: RouteUpdate,
+        update: routes::RouteUpdate,
     },
     /// Read the record.
     Read,
@@ -106,16 +73,13 @@
     /// The routes changed.
     Routed,
     /// This instance became or ceased to be the controller.
-    Role {
-        leading: bool,
-        term: u32,
-    },
+    Role { leading: bool, term: u32 },
 }
 
 #[derive(Clone, Debug)]
 struct LeaderView {
     term: u32,
-    pair: LeaderPair,
+    pair: routes::LeaderPair,
     followers: usize,
 }
 
@@ -179,11 +143,6 @@
         self.core.as_ref()
     }
 
-    /// Returns the controller's state if this instance leads.
-    pub fn core_mut(&mut self) -> Option<&mut controller::ControllerCore> {
-        self.core.as_mut()
-    }
-
     /// Returns how many instances take part, the controller included.
     pub fn instances(&self) -> Option<usize> {
         let leader = self.leader.as_ref()?;
@@ -218,7 +177,7 @@
         self.drive(now, controller::ControllerEvent::Plan(plan))
     }
 
-    fn on_query(&mut self, now: Duration, query: RouteQuery) -> Vec<LeadAction> {
+    fn on_query(&mut self, now: Duration, query: routes::RouteQuery) -> Vec<LeadAction> {
         let mut actions = Vec::new();
         let to = query.from.control;
         if let Some(update) = self.update_for(&query) {
@@ -238,7 +197,7 @@
         self.followers.push(FollowerEntry { info, heard: now });
     }
 
-    fn update_for(&self, query: &RouteQuery) -> Option<RouteUpdate> {
+    fn update_for(&self, query: &routes::RouteQuery) -> Option<routes::RouteUpdate> {
         let entries = match query.digest == self.table.digest() {
             true => Vec::new(),
             false => self.table.entries().to_vec(),
@@ -252,9 +211,9 @@
         Some(update)
     }
 
-    fn update_with(&self, entries: Vec<routes::RouteEntry>) -> Option<RouteUpdate> {
+    fn update_with(&self, entries: Vec<routes::RouteEntry>) -> Option<routes::RouteUpdate> {
         let leader = self.leader.as_ref()?;
-        Some(RouteUpdate {
+        Some(routes::RouteUpdate {
             service: self.service,
             term: leader.term,
             pair: Some(leader.pair.clone()),
@@ -267,7 +226,7 @@
         })
     }
 
-    fn on_update(&mut self, now: Duration, update: RouteUpdate) -> Vec<LeadAction> {
+    fn on_update(&mut self, now: Duration, update: routes::RouteUpdate) -> Vec<LeadAction> {
         let mut actions = Vec::new();
         if self.table.merge(&update.entries) {
             actions.push(LeadAction::Routed);
@@ -348,7 +307,7 @@
         self.queried = Duration::ZERO;
         self.leader = Some(LeaderView {
             term: record.term,
-            pair: LeaderPair {
+            pair: routes::LeaderPair {
                 controller: record.controller.clone(),
                 standby: record.standby.clone(),
             },
@@ -372,7 +331,7 @@
         let term = claim.term;
         self.leader = Some(LeaderView {
             term,
-            pair: LeaderPair {
+            pair: routes::LeaderPair {
                 controller: self.me.clone(),
                 standby: claim.standby.clone(),
             },
@@ -478,7 +437,7 @@
             targets.extend(leader.standby().map(|peer| peer.control));
         }
         targets.retain(|target| *target != self.me.control);
-        let query = RouteQuery {
+        let query = routes::RouteQuery {
             service: self.service,
             from: self.me.clone(),
             term: leader.term,
@@ -554,10 +513,4 @@
             leader.pair.standby = standby;
         }
     }
-
-    /// Returns the newest fence number among the routes.
-    pub fn version(&self) -> grant::GrantGeneration {
-        let versions = self.table.entries().iter().map(|entry| entry.version);
-        versions.max().unwrap_or_default()
-    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 use crate::keeper;
 use crate::lead;
 use crate::record;
+use crate::routes;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,8 +17,8 @@
 /// Message between two instances.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PeerMessage {
-    Query(lead::RouteQuery),
-    Update(lead::RouteUpdate),
+    Query(routes::RouteQuery),
+    Update(routes::RouteUpdate),
     Order(keeper::KeeperOrder),
     Report(keeper::KeeperReport),
 }
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -7,6 +7,7 @@
 use crate::grant;
 use crate::ids;
 use crate::range;
+use crate::record;
 use std::hash::Hasher;
 use xxhash_rust::xxh3;
 
@@ -79,3 +80,35 @@
         hasher.finish()
     }
 }
+
+/// Follower's request for routes, and its sign of life.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteQuery {
+    pub service: ids::ServiceKey,
+    pub from: record::PeerInfo,
+    /// Term that the follower knows of; 0 if none.
+    pub term: u32,
+    /// Digest of the routes the follower has.
+    pub digest: u64,
+}
+
+/// Who controls a service, and who takes over first.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaderPair {
+    pub controller: record::PeerInfo,
+    pub standby: Option<record::PeerInfo>,
+}
+
+/// What an instance knows of a service, sent to its followers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteUpdate {
+    pub service: ids::ServiceKey,
+    pub term: u32,
+    /// Absent if the receiver knows it already.
+    pub pair: Option<LeaderPair>,
+    /// Whether the sender is the controller itself.
+    pub leading: bool,
+    /// Instances that follow the service.
+    pub followers: u32,
+    pub entries: Vec<RouteEntry>,
+}
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -84,13 +84,6 @@
         self.state().remaining = length;
     }
 
-    /// Returns whether bytes of the declared body are missing.
-    pub fn is_short(&self) -> bool {
-        self.state()
-            .remaining
-            .is_some_and(|remaining| remaining > 0)
-    }
-
     /// Returns whether the current message ended where it should.
     pub fn is_clean(&self) -> bool {
         let state = self.state();
--- a/src/view.rs
+++ b/src/view.rs
@@ -10,6 +10,7 @@
 use crate::range;
 use crate::routes;
 use crate::upstream;
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -85,7 +86,7 @@
         let usable = |pool: &&Arc<upstream::UpstreamPool>| {
             !pool.config.leaving && Some(pool.config.key) != avoid
         };
-        let usable: Vec<_> = self.upstreams.iter().filter(usable).collect();
+        let usable: SmallVec<[_; 16]> = self.upstreams.iter().filter(usable).collect();
         let pick = || usable.get(fastrand::usize(..usable.len().max(1))).copied();
         let two = [pick(), pick()];
         let chosen = two
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,7 +7,6 @@
 use crate::holder;
 use crate::ids;
 use crate::keeper;
-use crate::lead;
 use crate::node;
 use crate::range;
 use crate::record;
@@ -473,8 +472,8 @@
     missing: Option<u64>,
 }
 
-impl From<&lead::RouteQuery> for QueryFrame {
-    fn from(query: &lead::RouteQuery) -> QueryFrame {
+impl From<&routes::RouteQuery> for QueryFrame {
+    fn from(query: &routes::RouteQuery) -> QueryFrame {
         QueryFrame {
             service: query.service.0,
             from: Some((&query.from).into()),
@@ -484,11 +483,11 @@
     }
 }
 
-impl TryFrom<QueryFrame> for lead::RouteQuery {
+impl TryFrom<QueryFrame> for routes::RouteQuery {
     type Error = WireError;
 
-    fn try_from(frame: QueryFrame) -> Result<lead::RouteQuery, WireError> {
-        Ok(lead::RouteQuery {
+    fn try_from(frame: QueryFrame) -> Result<routes::RouteQuery, WireError> {
+        Ok(routes::RouteQuery {
             service: ids::ServiceKey(frame.service),
             from: frame.from.ok_or(WireError::Missing("from"))?.try_into()?,
             digest: frame.digest,
@@ -497,8 +496,8 @@
     }
 }
 
-impl From<&lead::RouteUpdate> for UpdateFrame {
-    fn from(update: &lead::RouteUpdate) -> UpdateFrame {
+impl From<&routes::RouteUpdate> for UpdateFrame {
+    fn from(update: &routes::RouteUpdate) -> UpdateFrame {
         UpdateFrame {
             service: update.service.0,
             term: update.term,
@@ -515,20 +514,20 @@
     }
 }
 
-impl TryFrom<UpdateFrame> for lead::RouteUpdate {
+impl TryFrom<UpdateFrame> for routes::RouteUpdate {
     type Error = WireError;
 
-    fn try_from(frame: UpdateFrame) -> Result<lead::RouteUpdate, WireError> {
+    fn try_from(frame: UpdateFrame) -> Result<routes::RouteUpdate, WireError> {
         let standby = frame.standby.map(record::PeerInfo::try_from).transpose()?;
         let controller = frame
             .controller
             .map(record::PeerInfo::try_from)
             .transpose()?;
-        let pair = |controller| lead::LeaderPair {
+        let pair = |controller| routes::LeaderPair {
             controller,
             standby,
         };
-        Ok(lead::RouteUpdate {
+        Ok(routes::RouteUpdate {
             service: ids::ServiceKey(frame.service),
             term: frame.term,
             pair: controller.map(pair),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -379,7 +379,7 @@
         }
         let due = size as f64 * (now - ORIGIN).as_secs_f64() / interval.as_secs_f64();
         while asked < due {
-            let query = lead::RouteQuery {
+            let query = routes::RouteQuery {
                 service: service(),
                 from: peer(1 + asked as usize % size),
                 term: 1,
@@ -449,10 +449,10 @@
         owner: Some(upstream(0)),
         version,
     });
-    let update = lead::RouteUpdate {
+    let update = routes::RouteUpdate {
         service,
         term: 1,
-        pair: Some(lead::LeaderPair {
+        pair: Some(routes::LeaderPair {
             controller: peer(1),
             standby: Some(peer(2)),
         }),
