Close idle connections only after the lame duck time

Ruled out: readiness (callers of the test do not look at it). Change: until the lame duck time is over a connection is closed only by an answer that says so; then the backlog is accepted once more.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,7 +27,6 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Interval of the core's timer.
@@ -145,7 +144,7 @@
 
     /// Returns whether callers' requests can be served.
     pub fn is_ready(&self) -> bool {
-        self.configured.get() && !self.context.stopping.load(Ordering::Acquire)
+        self.configured.get() && !self.context.is_stopping()
     }
 
     /// Returns the teams and the versions of their configuration.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,9 @@
 /// Stale routes that wait for the control thread.
 const MAX_STALE_REPORTS: usize = 64;
 
+/// Time after the last accepted connections for their requests to arrive.
+const CLOSE_GRACE: Duration = Duration::from_millis(300);
+
 /// Interval at which a stopping instance looks for requests in flight.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -74,10 +77,10 @@
         }
     }
     let started = Instant::now();
-    context.stopping.store(true, Ordering::Release);
+    context.begin_stop();
     log::info!("instance {} drains", context.settings.id);
-    async_io::Timer::after(context.settings.lame_duck).await;
-    let limit = context.settings.lame_duck + context.settings.stop_timeout;
+    async_io::Timer::after(context.settings.lame_duck + CLOSE_GRACE).await;
+    let limit = context.settings.lame_duck + CLOSE_GRACE + context.settings.stop_timeout;
     while context.in_flight.load(Ordering::Acquire) > 0 {
         if started.elapsed() >= limit {
             let left = context.in_flight.load(Ordering::Acquire);
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -13,8 +13,8 @@
 use futures_lite::future::{self, Future};
 use futures_lite::io::AsyncReadExt;
 use http_types::{Body, Request, Response};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Header that names the team.
@@ -38,7 +38,8 @@
     pub metrics: Arc<metrics::MetricSet>,
     pub settings: settings::InstanceSettings,
     pub in_flight: AtomicUsize,
-    pub stopping: AtomicBool,
+    /// When the graceful stop began.
+    stop_since: OnceLock<Instant>,
     pub(crate) held: AtomicUsize,
 }
 
@@ -55,12 +56,33 @@
             metrics,
             settings,
             in_flight: AtomicUsize::new(0),
-            stopping: AtomicBool::new(false),
+            stop_since: OnceLock::new(),
             held: AtomicUsize::new(0),
         }
     }
 }
 
+impl ProxyContext {
+    /// Begins the graceful stop.
+    pub fn begin_stop(&self) {
+        self.stop_since.get_or_init(Instant::now);
+    }
+
+    /// Returns whether the graceful stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stop_since.get().is_some()
+    }
+
+    /// Returns whether connections are closed although nothing was answered on them.
+    ///
+    /// Until then every connection is closed by an answer that says so, which
+    /// no request can cross.
+    pub fn is_closing(&self) -> bool {
+        let since = self.stop_since.get();
+        since.is_some_and(|since| since.elapsed() >= self.settings.lame_duck)
+    }
+}
+
 /// Request that was read from a caller and may be sent more than once.
 pub(crate) struct ProxyRequest {
     pub(crate) service: ids::ServiceKey,
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -7,14 +7,14 @@
 use crate::stream;
 use async_executor::LocalExecutor;
 use async_io::Async;
+use futures_lite::future;
 use http_types::{Method, Response};
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Pause after the system refused to accept a connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
@@ -54,8 +54,7 @@
     context: Arc<proxy::ProxyContext>,
     listener: Async<TcpListener>,
 ) {
-    let mut stop_seen = None;
-    while accepting(&context, &mut stop_seen) {
+    while !context.is_closing() {
         let accepted = proxy::within(STOP_POLL, listener.accept()).await;
         match accepted {
             None => {}
@@ -69,19 +68,12 @@
             }
         }
     }
-    drop(listener);
-    while context.in_flight.load(Ordering::Acquire) > 0 {
-        async_io::Timer::after(ACCEPT_BACKOFF).await;
+    while let Some(Ok((io, _))) = future::poll_once(listener.accept()).await {
+        executor.spawn(serve(context.clone(), io)).detach();
     }
-}
-
-/// Returns whether new connections are still accepted.
-fn accepting(context: &proxy::ProxyContext, stop_seen: &mut Option<Instant>) -> bool {
-    if !context.stopping.load(Ordering::Acquire) {
-        return true;
-    }
-    let since = *stop_seen.get_or_insert_with(Instant::now);
-    since.elapsed() < context.settings.lame_duck
+    drop(listener);
+    // Connections are served until the process ends.
+    future::pending::<()>().await;
 }
 
 async fn serve(context: Arc<proxy::ProxyContext>, io: Async<TcpStream>) {
@@ -98,7 +90,7 @@
     loop {
         match proxy::within(STOP_POLL, stream.wait_message()).await {
             Some(arrived) => return arrived,
-            None if context.stopping.load(Ordering::Acquire) => return false,
+            None if context.is_closing() => return false,
             None => {}
         }
     }
@@ -120,7 +112,7 @@
     let Some(mut response) = proxy::answer(context, stream, request).await else {
         return false;
     };
-    let stopping = context.stopping.load(Ordering::Acquire);
+    let stopping = context.is_stopping();
     let close = asked_close || stopping || !stream.is_clean_request();
     strip_hop_headers(&mut response);
     if response.header(outcome::OUTCOME_HEADER).is_none() {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod path;
 pub mod platform;
+pub mod ports;
 pub mod process;
 pub mod upstream;
 pub mod world;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -2,10 +2,10 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use godwitloom::{holder, ids};
-use godwitloom_standins::{caller, platform, upstream};
+use godwitloom_standins::{caller, platform, ports, upstream};
 use http_types::Method;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -127,14 +127,8 @@
 
 /// Prints ports that were free for both TCP and UDP a moment ago.
 fn print_ports(count: u64) -> io::Result<()> {
-    let mut held = Vec::new();
-    while held.len() < count as usize {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let address = listener.local_addr()?;
-        if let Ok(socket) = UdpSocket::bind(address) {
-            println!("{}", address.port());
-            held.push((listener, socket));
-        }
+    for address in ports::free_addresses(count as usize) {
+        println!("{}", address.port());
     }
     Ok(())
 }
--- a/standins/tests/site.rs
+++ b/standins/tests/site.rs
@@ -1,12 +1,13 @@
 //! A small site of real processes: kills, freezes, bad input, a graceful stop.
 
 use godwitloom::{exchange, message, operators, outcome, proxy, stream};
-use godwitloom_standins::caller;
+use godwitloom_standins::{caller, ports};
 use http_types::{Method, Request, Url};
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,20 +23,11 @@
     standin.with_file_name(name)
 }
 
-/// Returns addresses that are free for TCP and UDP.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let mut held = Vec::new();
-    while held.len() < count {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        let address = listener.local_addr().expect("bound");
-        if let Ok(socket) = UdpSocket::bind(address) {
-            held.push((listener, socket, address));
-        }
-    }
-    held.into_iter().map(|(_, _, address)| address).collect()
-}
+/// Held by the site that runs: sites share the machine's processors.
+static RUNNING: Mutex<()> = Mutex::new(());
 
 struct Site {
+    _running: MutexGuard<'static, ()>,
     directory: PathBuf,
     platform: Child,
     upstreams: Vec<Child>,
@@ -50,10 +42,12 @@
     fn start(name: &str) -> Site {
         let directory = std::env::temp_dir().join(format!("site-{name}-{}", std::process::id()));
         fs::create_dir_all(&directory).expect("temporary directory is writable");
-        let addresses = free_addresses(1 + 2 * UPSTREAMS + 3 * INSTANCES);
+        let addresses = ports::free_addresses(1 + 2 * UPSTREAMS + 3 * INSTANCES);
         let (platform, rest) = addresses.split_first().expect("not empty");
         let (upstreams, instances) = rest.split_at(2 * UPSTREAMS);
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
         let mut site = Site {
+            _running: running,
             platform: spawn(Command::new(binary("standin")).args([
                 "platform",
                 "--listen",
