--- a/src/controller.rs
+++ b/src/controller.rs
@@ -24,7 +24,7 @@
 use crate::recording;
 use crate::routes;
 use crate::server;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -137,9 +137,9 @@
     pub(crate) next_write: Duration,
     pub(crate) servers: Vec<server::ServerState>,
     pub(crate) ranges: Vec<RangeState>,
-    pub(crate) peers: HashMap<String, PeerEntry>,
+    pub(crate) peers: BTreeMap<String, PeerEntry>,
     pub(crate) gone: server::GoneTimes,
-    pub(crate) moves: HashMap<u64, ids::UpstreamKey>,
+    pub(crate) moves: BTreeMap<u64, ids::UpstreamKey>,
     pub(crate) next_move: Duration,
     pub(crate) started: Duration,
     /// Position of each server.
@@ -171,9 +171,9 @@
             next_write: now,
             servers: Vec::new(),
             ranges: Vec::new(),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             gone: server::GoneTimes::new(),
-            moves: HashMap::new(),
+            moves: BTreeMap::new(),
             next_move: now + balance::MOVE_INTERVAL,
             started: now,
             positions: HashMap::new(),
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -10,7 +10,7 @@
 use crate::grant;
 use crate::holder;
 use crate::ids;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -122,8 +122,8 @@
 pub struct KeeperTable {
     key: ids::InstanceKey,
     /// Highest term seen per service; kept after the charges are given up.
-    terms: HashMap<ids::ServiceKey, u32>,
-    charges: HashMap<ids::UpstreamKey, KeeperCharge>,
+    terms: BTreeMap<ids::ServiceKey, u32>,
+    charges: BTreeMap<ids::UpstreamKey, KeeperCharge>,
 }
 
 impl KeeperTable {
@@ -131,8 +131,8 @@
     pub fn new(key: ids::InstanceKey) -> KeeperTable {
         KeeperTable {
             key,
-            terms: HashMap::new(),
-            charges: HashMap::new(),
+            terms: BTreeMap::new(),
+            charges: BTreeMap::new(),
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use crate::lead;
 use crate::record;
 use crate::routes;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -90,7 +90,7 @@
 pub struct NodeCore {
     me: record::PeerInfo,
     keeper: keeper::KeeperTable,
-    leads: HashMap<ids::ServiceKey, lead::LeadCore>,
+    leads: BTreeMap<ids::ServiceKey, lead::LeadCore>,
 }
 
 impl NodeCore {
@@ -99,7 +99,7 @@
         NodeCore {
             keeper: keeper::KeeperTable::new(me.key),
             me,
-            leads: HashMap::new(),
+            leads: BTreeMap::new(),
         }
     }
 
