--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,8 +1,8 @@
 //! Single HTTP calls, for everything that is not callers' traffic.
 
 use crate::message;
-use crate::proxy;
 use crate::stream;
+use crate::timer;
 use http_types::{Body, Method, Request, Url};
 use std::io;
 use std::net::SocketAddr;
@@ -45,7 +45,7 @@
     timeout: Duration,
 ) -> Result<CallAnswer, CallError> {
     let exchange = call_unbounded(address, method, path, body);
-    let answer = proxy::within(timeout, exchange).await;
+    let answer = timer::within(timeout, exchange).await;
     answer.unwrap_or(Err(CallError::Timeout { address, timeout }))
 }
 
--- /dev/null
+++ b/src/fleet/gossip.rs
@@ -0,0 +1,154 @@
+//! Datagrams between instances: signs of life, request counts, leadership.
+//!
+//! Any of them may be lost; all are repeated.
+
+use crate::ids;
+use crate::ownership::load;
+use prost::Message;
+use thiserror::Error;
+
+/// Longest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+
+/// Counts in one datagram, so that it stays below a usual packet.
+pub const MAX_COUNTS: usize = 250;
+
+/// What one instance tells another about one service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GossipMessage {
+    pub service: String,
+    /// Run and name of the sender.
+    pub run: ids::InstanceKey,
+    pub name: String,
+    pub content: GossipContent,
+}
+
+/// Content of a message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum GossipContent {
+    /// Sign of life of an instance.
+    Report {
+        /// Whether the sender acts as the service's leader.
+        acting: bool,
+        counts: Vec<load::BucketCount>,
+    },
+    /// Sign of life of the leader.
+    Beacon {
+        /// Revision at which the sender became the leader.
+        revision: u64,
+        /// Instances that report to it, itself included.
+        instances: u32,
+    },
+}
+
+/// A datagram that is no message.
+#[derive(Debug, Error)]
+pub enum GossipError {
+    #[error("datagram cannot be decoded: {0}; run one version on all instances")]
+    Syntax(#[from] prost::DecodeError),
+    #[error("datagram has no content; run one version on all instances")]
+    Empty,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireMessage {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(fixed64, tag = "2")]
+    run: u64,
+    #[prost(string, tag = "3")]
+    name: String,
+    #[prost(oneof = "WireContent", tags = "4, 5")]
+    content: Option<WireContent>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum WireContent {
+    #[prost(message, tag = "4")]
+    Report(WireReport),
+    #[prost(message, tag = "5")]
+    Beacon(WireBeacon),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireReport {
+    #[prost(bool, tag = "1")]
+    acting: bool,
+    #[prost(uint32, repeated, tag = "2")]
+    buckets: Vec<u32>,
+    #[prost(uint32, repeated, tag = "3")]
+    counts: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireBeacon {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint32, tag = "2")]
+    instances: u32,
+}
+
+impl From<&GossipMessage> for WireMessage {
+    fn from(message: &GossipMessage) -> WireMessage {
+        let content = match &message.content {
+            GossipContent::Report { acting, counts } => WireContent::Report(WireReport {
+                acting: *acting,
+                buckets: counts.iter().map(|count| count.bucket).collect(),
+                counts: counts.iter().map(|count| count.count).collect(),
+            }),
+            GossipContent::Beacon {
+                revision,
+                instances,
+            } => WireContent::Beacon(WireBeacon {
+                revision: *revision,
+                instances: *instances,
+            }),
+        };
+        WireMessage {
+            service: message.service.clone(),
+            run: message.run.0,
+            name: message.name.clone(),
+            content: Some(content),
+        }
+    }
+}
+
+impl TryFrom<WireMessage> for GossipMessage {
+    type Error = GossipError;
+
+    fn try_from(wire: WireMessage) -> Result<GossipMessage, GossipError> {
+        let content = match wire.content.ok_or(GossipError::Empty)? {
+            WireContent::Report(report) => {
+                let pairs = report.buckets.into_iter().zip(report.counts);
+                GossipContent::Report {
+                    acting: report.acting,
+                    counts: pairs
+                        .map(|(bucket, count)| load::BucketCount { bucket, count })
+                        .collect(),
+                }
+            }
+            WireContent::Beacon(beacon) => GossipContent::Beacon {
+                revision: beacon.revision,
+                instances: beacon.instances,
+            },
+        };
+        Ok(GossipMessage {
+            service: wire.service,
+            run: ids::InstanceKey(wire.run),
+            name: wire.name,
+            content,
+        })
+    }
+}
+
+impl GossipMessage {
+    /// Encodes the message as a datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        WireMessage::from(self).encode_to_vec()
+    }
+
+    /// Decodes a datagram.
+    pub fn decode(datagram: &[u8]) -> Result<GossipMessage, GossipError> {
+        WireMessage::decode(datagram)?.try_into()
+    }
+}
--- /dev/null
+++ b/src/fleet/mirror.rs
@@ -0,0 +1,274 @@
+//! Mirror of the metadata store, as far as an instance uses it.
+//!
+//! Changes may arrive twice and listings may be older than what is known; an
+//! item is replaced only by one with a higher revision, and a configuration only
+//! by a newer version.
+
+use crate::directory;
+use crate::event_log;
+use crate::fleet::{events, ports};
+use crate::ids;
+use crate::ownership::{core, record};
+use crate::routing;
+use crate::store;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Start of the keys that instances write.
+const OWN_PREFIX: &str = "godwitloom/";
+
+/// Returns the key of a service's leader.
+pub fn leader_key(service: &str) -> String {
+    format!("{OWN_PREFIX}leader/{service}")
+}
+
+/// Returns the key of a service's ownership record.
+pub fn record_key(service: &str) -> String {
+    format!("{OWN_PREFIX}owners/{service}")
+}
+
+/// Value of a leader's key.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct LeaderValue {
+    pub run: ids::InstanceKey,
+}
+
+/// What a change means to the rest of the instance.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct MirrorEffect {
+    /// Configuration, upstreams or owners changed.
+    pub view: bool,
+    /// Leaders or records changed.
+    pub ownership: bool,
+}
+
+impl MirrorEffect {
+    fn merge(&mut self, other: MirrorEffect) {
+        self.view |= other.view;
+        self.ownership |= other.ownership;
+    }
+}
+
+/// Known state of the metadata store.
+pub struct StoreMirror {
+    schema: Box<dyn ports::SiteSchema>,
+    log: event_log::EventLog,
+    /// Revisions of all known items.
+    revisions: HashMap<String, u64>,
+    as_of: u64,
+    pub config: Option<Arc<routing::RoutingConfig>>,
+    pub directory: directory::UpstreamDirectory,
+    leaders: HashMap<String, (ids::InstanceKey, u64)>,
+    records: HashMap<String, (Arc<record::OwnershipRecord>, u64)>,
+}
+
+impl StoreMirror {
+    /// Creates a mirror that knows nothing.
+    pub fn new(schema: Box<dyn ports::SiteSchema>, log: event_log::EventLog) -> StoreMirror {
+        StoreMirror {
+            schema,
+            log,
+            revisions: HashMap::new(),
+            as_of: 0,
+            config: None,
+            directory: directory::UpstreamDirectory::default(),
+            leaders: HashMap::new(),
+            records: HashMap::new(),
+        }
+    }
+
+    /// Returns the revision up to which the store was seen.
+    pub fn as_of(&self) -> u64 {
+        self.as_of
+    }
+
+    /// Returns the ownership record of a service.
+    pub fn record(&self, service: &str) -> Option<&Arc<record::OwnershipRecord>> {
+        self.records
+            .get(&record_key(service))
+            .map(|(record, _)| record)
+    }
+
+    /// Returns whether a service has a leader.
+    pub fn has_leader(&self, service: &str) -> bool {
+        self.leaders.contains_key(&leader_key(service))
+    }
+
+    /// Returns what the store holds about the ownership of a service.
+    pub fn store_view(&self, service: &str) -> core::StoreView {
+        let record = self.records.get(&record_key(service));
+        core::StoreView {
+            leader: self.leaders.get(&leader_key(service)).copied(),
+            record: record.map(|(record, revision)| ((**record).clone(), *revision)),
+            as_of: self.as_of,
+        }
+    }
+
+    /// Takes a complete listing over.
+    pub fn apply_listing(&mut self, now: Duration, listing: store::StoreListing) -> MirrorEffect {
+        self.log.emit(&events::StoreListed {
+            items: listing.items.len(),
+            as_of: listing.as_of,
+        });
+        let mut effect = MirrorEffect::default();
+        let listed: std::collections::HashSet<&str> =
+            listing.items.iter().map(|item| item.key.as_str()).collect();
+        let missing = self.revisions.iter();
+        let missing = missing.filter(|(key, revision)| {
+            !listed.contains(key.as_str()) && **revision <= listing.as_of
+        });
+        let missing: Vec<String> = missing.map(|(key, _)| key.clone()).collect();
+        for key in missing {
+            effect.merge(self.delete(now, &key, listing.as_of));
+        }
+        for item in listing.items {
+            effect.merge(self.put(now, item));
+        }
+        self.as_of = self.as_of.max(listing.as_of);
+        effect
+    }
+
+    /// Takes the changes of a watch over.
+    pub fn apply_batch(&mut self, now: Duration, batch: store::ChangeBatch) -> MirrorEffect {
+        let mut effect = MirrorEffect::default();
+        for change in batch.changes {
+            effect.merge(match change {
+                store::StoreChange::Put(item) => self.put(now, item),
+                store::StoreChange::Deleted { key, revision } => self.delete(now, &key, revision),
+            });
+        }
+        self.as_of = self.as_of.max(batch.as_of);
+        effect
+    }
+
+    /// Removes upstreams whose time to register again is over.
+    pub fn expire(&mut self, now: Duration) -> MirrorEffect {
+        let changes = self.directory.expire(now);
+        let revision = self.as_of;
+        self.note_changes(changes, revision)
+    }
+
+    fn put(&mut self, now: Duration, item: store::StoredItem) -> MirrorEffect {
+        let known = self.revisions.get(&item.key).copied().unwrap_or(0);
+        if item.revision <= known {
+            return MirrorEffect::default();
+        }
+        self.revisions.insert(item.key.clone(), item.revision);
+        if item.key.starts_with(OWN_PREFIX) {
+            return self.put_own(item);
+        }
+        match self.schema.read(&item) {
+            ports::SiteFact::Config(config) => self.put_config(*config, item.revision),
+            ports::SiteFact::Upstream(entry) => {
+                let changes = self.directory.put(now, *entry);
+                self.note_changes(changes, item.revision)
+            }
+            ports::SiteFact::Unusable(reason) => {
+                self.log.emit(&events::ItemIgnored {
+                    key: item.key.clone(),
+                    revision: item.revision,
+                    reason,
+                });
+                MirrorEffect::default()
+            }
+            ports::SiteFact::Other => MirrorEffect::default(),
+        }
+    }
+
+    fn put_config(&mut self, config: routing::RoutingConfig, revision: u64) -> MirrorEffect {
+        let known = self.config.as_ref().map_or(0, |config| config.version);
+        if config.version <= known {
+            return MirrorEffect::default();
+        }
+        self.log.emit(&events::ConfigInForce {
+            version: config.version,
+            revision,
+            routes: config.route_count(),
+        });
+        self.config = Some(Arc::new(config));
+        MirrorEffect {
+            view: true,
+            ownership: true,
+        }
+    }
+
+    fn put_own(&mut self, item: store::StoredItem) -> MirrorEffect {
+        let effect = MirrorEffect {
+            view: true,
+            ownership: true,
+        };
+        if item.key.starts_with("godwitloom/leader/") {
+            match serde_json::from_slice::<LeaderValue>(&item.value) {
+                Ok(value) => {
+                    self.leaders.insert(item.key, (value.run, item.revision));
+                }
+                Err(error) => self.ignore(&item, error.to_string()),
+            }
+            return effect;
+        }
+        match record::OwnershipRecord::decode(&item.value) {
+            Ok(record) => {
+                self.records
+                    .insert(item.key, (Arc::new(record), item.revision));
+            }
+            Err(error) => self.ignore(&item, error.to_string()),
+        }
+        effect
+    }
+
+    fn ignore(&self, item: &store::StoredItem, reason: String) {
+        self.log.emit(&events::ItemIgnored {
+            key: item.key.clone(),
+            revision: item.revision,
+            reason,
+        });
+    }
+
+    fn delete(&mut self, now: Duration, key: &str, revision: u64) -> MirrorEffect {
+        let known = self.revisions.get(key).copied().unwrap_or(0);
+        if revision < known {
+            return MirrorEffect::default();
+        }
+        self.revisions.remove(key);
+        if key.starts_with(OWN_PREFIX) {
+            self.leaders.remove(key);
+            self.records.remove(key);
+            return MirrorEffect {
+                view: true,
+                ownership: true,
+            };
+        }
+        match self.schema.vanished(key) {
+            ports::VanishedKey::Upstream(id) => {
+                let change = self.directory.remove(now, id);
+                self.note_changes(change.into_iter().collect(), revision)
+            }
+            ports::VanishedKey::Other => MirrorEffect::default(),
+        }
+    }
+
+    fn note_changes(
+        &self,
+        changes: Vec<directory::DirectoryChange>,
+        revision: u64,
+    ) -> MirrorEffect {
+        let changed = !changes.is_empty();
+        for change in changes {
+            let (key, word) = change.describe();
+            let known = self.directory.iter().find(|known| known.key == key);
+            let entry = known.map(|known| &known.entry);
+            self.log.emit(&events::UpstreamChanged {
+                id: entry.map_or_else(|| key.to_string(), |entry| entry.id.to_string()),
+                service: entry.map_or_else(String::new, |entry| entry.service.to_string()),
+                change: word.to_owned(),
+                revision,
+            });
+        }
+        MirrorEffect {
+            view: changed,
+            ownership: changed,
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,14 @@
+//! Control side of an instance that works with a metadata store.
+//!
+//! One thread keeps a [`mirror::StoreMirror`] of the store, takes part in the
+//! ownership of each service with keys, and publishes what the traffic threads
+//! need. What differs between sites lies behind three ports:
+//! [`crate::store::MetadataStore`], [`ports::SiteSchema`] and
+//! [`ports::GrantPort`].
+
+pub mod control;
+pub mod daemon;
+pub mod events;
+pub mod gossip;
+pub mod mirror;
+pub mod ports;
--- /dev/null
+++ b/src/fleet/ports.rs
@@ -0,0 +1,53 @@
+//! Ports of the control side.
+
+use crate::directory;
+use crate::ownership::core;
+use crate::routing;
+use crate::store;
+use std::rc::Rc;
+
+/// Meaning of a stored item that a site's operators or upstreams wrote.
+#[derive(Clone, Debug)]
+pub enum SiteFact {
+    Config(Box<routing::RoutingConfig>),
+    Upstream(Box<directory::UpstreamEntry>),
+    /// An item of a known kind that cannot be used, and why.
+    Unusable(String),
+    /// An item that means nothing to an instance.
+    Other,
+}
+
+/// Meaning of a key that vanished.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VanishedKey<'a> {
+    Upstream(&'a str),
+    Other,
+}
+
+/// Translation of what a site keeps in its metadata store.
+pub trait SiteSchema {
+    /// Reads one stored item.
+    fn read(&self, item: &store::StoredItem) -> SiteFact;
+
+    /// Tells what a vanished key stood for.
+    fn vanished<'a>(&self, key: &'a str) -> VanishedKey<'a>;
+}
+
+/// Check made just before a call is sent.
+pub type CallGuard = Rc<dyn Fn() -> bool>;
+
+/// Calls to upstreams that grant and release keys.
+pub trait GrantPort {
+    /// Grants or renews a range, unless `guard` denies it when the call is sent.
+    fn grant<'a>(
+        &'a self,
+        command: &'a core::GrantCommand,
+        guard: CallGuard,
+    ) -> store::PortFuture<'a, core::GrantResult>;
+
+    /// Takes a range back.
+    fn release<'a>(
+        &'a self,
+        command: &'a core::ReleaseCommand,
+    ) -> store::PortFuture<'a, core::ReleaseResult>;
+}
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -9,6 +9,7 @@
 use crate::proxy;
 use crate::refusal;
 use crate::stream;
+use crate::timer;
 use crate::upstream;
 use crate::view;
 use async_io::Timer;
@@ -218,7 +219,7 @@
 async fn reserve_pause(freed: Option<EventListener>) {
     match freed {
         Some(freed) => {
-            proxy::within(FULL_POLL, freed).await;
+            timer::within(FULL_POLL, freed).await;
         }
         None => {
             Timer::after(ROUTE_POLL).await;
@@ -256,7 +257,7 @@
     request: &mut proxy::ProxyRequest,
 ) -> Result<Response, AttemptError> {
     let left = request.deadline.saturating_duration_since(Instant::now());
-    let connect = proxy::within(left, pool.connect()).await;
+    let connect = timer::within(left, pool.connect()).await;
     let stream = match connect {
         Some(Ok(stream)) => stream,
         Some(Err(error)) => return Err(AttemptError::not_run(error.into())),
@@ -264,7 +265,7 @@
     };
     let outgoing = build_request(request);
     let left = request.deadline.saturating_duration_since(Instant::now());
-    match proxy::within(left, exchange(pool, permit, &stream, outgoing)).await {
+    match timer::within(left, exchange(pool, permit, &stream, outgoing)).await {
         None => Err(AttemptError::timeout(outcome::Outcome::Unknown)),
         Some(Err(error)) if stream.written() == 0 => Err(AttemptError::not_run(error)),
         Some(Err(error)) => Err(AttemptError {
--- /dev/null
+++ b/src/gateway/choice.rs
@@ -0,0 +1,110 @@
+//! Choice of the upstream for one attempt.
+
+use crate::gateway::{pools, view};
+use crate::ids;
+use smallvec::SmallVec;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Work that all instances together may have at an upstream, in multiples of its slots.
+///
+/// Less than what upstreams run and queue, since some never answer beyond it.
+const LOAD_PER_SLOT: usize = 4;
+
+/// Least share of one instance in an upstream's capacity, in requests.
+const MIN_SHARE: usize = 2;
+
+/// Factor on the cost of an upstream in another availability zone.
+const FAR_FACTOR: f64 = 1.25;
+
+/// Factor on the cost of an upstream that warms up.
+const WARMING_FACTOR: f64 = 2.0;
+
+/// Weight of the failure rate in the cost of an upstream.
+const FAILURE_WEIGHT: f64 = 10.0;
+
+/// Upstreams that were tried for one request.
+pub type TriedList = SmallVec<[ids::UpstreamKey; 4]>;
+
+/// Result of a choice.
+#[derive(Debug)]
+pub enum Choice {
+    Found(pools::PoolPermit),
+    /// All upstreams that may be used are full.
+    Full,
+    /// No upstream may be used.
+    Nothing,
+}
+
+/// Returns the requests that one instance may have at an upstream.
+pub fn share(slots: u32, instances: usize) -> usize {
+    let total = slots as usize * LOAD_PER_SLOT;
+    total.div_ceil(instances.max(1)).max(MIN_SHARE)
+}
+
+/// Chooses the cheapest upstream of a service without owned keys.
+pub fn choose(
+    pools: &pools::PoolSet,
+    service: &view::ServiceView,
+    instances: usize,
+    tried: &TriedList,
+    boot_now: Duration,
+) -> Choice {
+    let now = Instant::now();
+    let usable = service
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.draining_since.is_none() && !tried.contains(&upstream.key));
+    let all: SmallVec<[Rc<pools::UpstreamPool>; 16]> =
+        usable.map(|upstream| pools.get(upstream)).collect();
+    if all.is_empty() {
+        return Choice::Nothing;
+    }
+    let reachable = all.iter().any(|pool| !pool.is_avoided(now));
+    let typical = typical_latency(&all, now);
+    let mut best: Option<(f64, &Rc<pools::UpstreamPool>)> = None;
+    for pool in &all {
+        let view = pool.view.borrow();
+        let full = pool.in_flight() >= share(view.slots, instances);
+        if full || (reachable && pool.is_avoided(now)) {
+            continue;
+        }
+        let cost = cost(pool, &view, typical, now, boot_now);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, pool));
+        }
+    }
+    best.map_or(Choice::Full, |(_, pool)| Choice::Found(pools.enter(pool)))
+}
+
+fn typical_latency(all: &[Rc<pools::UpstreamPool>], now: Instant) -> f64 {
+    let (sum, weights) = all
+        .iter()
+        .map(|pool| pool.latency(now))
+        .fold((0.0, 0.0), |(sum, weights), (latency, weight)| {
+            (sum + latency * weight, weights + weight)
+        });
+    if weights > 0.0 { sum / weights } else { 1.0 }
+}
+
+/// Returns the expected time of one more request, in seconds, weighted.
+fn cost(
+    pool: &pools::UpstreamPool,
+    view: &view::UpstreamView,
+    typical: f64,
+    now: Instant,
+    boot_now: Duration,
+) -> f64 {
+    let (latency, weight) = pool.latency(now);
+    let latency = typical + (latency - typical) * weight;
+    let far = if view.is_near { 1.0 } else { FAR_FACTOR };
+    let warming = if boot_now < view.warm_at {
+        WARMING_FACTOR
+    } else {
+        1.0
+    };
+    let failing = 1.0 + FAILURE_WEIGHT * pool.failures(now);
+    let jitter = 1.0 + fastrand::f64() * 0.1;
+    let queue = (pool.in_flight() + 1) as f64;
+    queue * latency.max(0.001) * far * warming * failing * jitter
+}
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,136 @@
+//! State that the traffic threads share with the control thread.
+
+use crate::budget;
+use crate::clock;
+use crate::event_log;
+use crate::gateway::{dialect, view};
+use crate::metrics;
+use crate::ownership::load;
+use crate::routing;
+use arc_swap::ArcSwap;
+use event_listener::Event;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+/// Settings of the request path.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Time after the begin of a stop at which idle connections are closed.
+    pub lame_duck: Duration,
+    /// Repeated requests that all instances together may add to each request.
+    pub retry_ratio: f64,
+    /// Repeated requests that all instances together may send at once.
+    pub retry_burst: f64,
+}
+
+/// State shared between the threads of an instance.
+pub struct GatewayContext {
+    pub view: ArcSwap<view::GatewayView>,
+    /// Notified when the view changes.
+    pub changed: Event,
+    pub dialect: dialect::HeaderDialect,
+    pub settings: GatewaySettings,
+    pub metrics: Arc<metrics::MetricSet>,
+    pub log: event_log::EventLog,
+    pub clock: Arc<dyn clock::Clock>,
+    pub in_flight: AtomicUsize,
+    stop_since: OnceLock<Instant>,
+    /// Notified when connections without a request are to be closed.
+    pub closing: Event,
+    budgets: Mutex<HashMap<Arc<str>, Arc<budget::RetryBudget>>>,
+    counts: Mutex<HashMap<Arc<str>, HashMap<u32, u32>>>,
+}
+
+impl GatewayContext {
+    /// Creates a context that knows nothing yet.
+    pub fn new(
+        dialect: dialect::HeaderDialect,
+        settings: GatewaySettings,
+        metrics: Arc<metrics::MetricSet>,
+        log: event_log::EventLog,
+        clock: Arc<dyn clock::Clock>,
+    ) -> GatewayContext {
+        GatewayContext {
+            view: ArcSwap::default(),
+            changed: Event::new(),
+            dialect,
+            settings,
+            metrics,
+            log,
+            clock,
+            in_flight: AtomicUsize::new(0),
+            stop_since: OnceLock::new(),
+            closing: Event::new(),
+            budgets: Mutex::default(),
+            counts: Mutex::default(),
+        }
+    }
+
+    /// Publishes a new view.
+    pub fn publish(&self, view: view::GatewayView) {
+        self.view.store(Arc::new(view));
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Begins the graceful stop.
+    pub fn begin_stop(&self) {
+        self.stop_since.get_or_init(Instant::now);
+    }
+
+    /// Returns whether the graceful stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stop_since.get().is_some()
+    }
+
+    /// Returns whether connections without a request are closed.
+    pub fn is_closing(&self) -> bool {
+        let since = self.stop_since.get();
+        since.is_some_and(|since| since.elapsed() >= self.settings.lame_duck)
+    }
+
+    /// Returns the retry budget of a service.
+    pub fn budget(&self, service: &Arc<str>) -> Arc<budget::RetryBudget> {
+        let mut budgets = self.budgets.lock().expect("no panic while locked");
+        let instances = self.view.load().instances.max(1) as f64;
+        let new = || {
+            let burst = self.settings.retry_burst / instances;
+            Arc::new(budget::RetryBudget::new(self.settings.retry_ratio, burst))
+        };
+        budgets.entry(service.clone()).or_insert_with(new).clone()
+    }
+
+    /// Counts a request for a key.
+    pub fn count_key(&self, service: &routing::ServiceSpec, key: u64) {
+        let Some(space) = service.key_space else {
+            return;
+        };
+        let bucket = load::bucket_of(key, space.last) as u32;
+        let mut counts = self.counts.lock().expect("no panic while locked");
+        let service = counts.entry(service.name.clone()).or_default();
+        *service.entry(bucket).or_default() += 1;
+    }
+
+    /// Takes the counts of requests since the last call.
+    pub fn take_counts(&self) -> HashMap<Arc<str>, HashMap<u32, u32>> {
+        std::mem::take(&mut *self.counts.lock().expect("no panic while locked"))
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub fn enter(&self) -> FlightGuard<'_> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        FlightGuard { context: self }
+    }
+}
+
+/// Count of one request in flight.
+pub struct FlightGuard<'a> {
+    context: &'a GatewayContext,
+}
+
+impl Drop for FlightGuard<'_> {
+    fn drop(&mut self) {
+        self.context.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/gateway/thread.rs
@@ -0,0 +1,82 @@
+//! Traffic threads of an instance.
+
+use crate::gateway::{attempts, caller, context, pools};
+use crate::h1::socket;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Interval at which unused connections to upstreams are closed.
+const TRIM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts `count` traffic threads on a listening socket.
+pub fn start(
+    context: &Arc<context::GatewayContext>,
+    listener: &TcpListener,
+    count: usize,
+) -> io::Result<()> {
+    for index in 0..count {
+        let context = context.clone();
+        let listener = Async::new(listener.try_clone()?)?;
+        let builder = thread::Builder::new().name(format!("traffic-{index}"));
+        builder.spawn(move || run(context, &listener))?;
+    }
+    Ok(())
+}
+
+fn run(context: Arc<context::GatewayContext>, listener: &Async<TcpListener>) {
+    let executor = Rc::new(LocalExecutor::new());
+    let pools = Rc::new(pools::PoolSet::default());
+    executor
+        .spawn(trim(context.clone(), pools.clone()))
+        .detach();
+    let runner = Rc::new(attempts::AttemptRunner::new(context.clone(), pools));
+    async_io::block_on(executor.run(accept(&executor, &context, listener, &runner)));
+}
+
+async fn accept(
+    executor: &Rc<LocalExecutor<'static>>,
+    context: &Arc<context::GatewayContext>,
+    listener: &Async<TcpListener>,
+    runner: &Rc<attempts::AttemptRunner>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => spawn_connection(executor, context, io, runner),
+            Err(error) => {
+                log::warn!("connection not accepted: {error}; raise the limit on descriptors");
+                Timer::after(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+fn spawn_connection(
+    executor: &Rc<LocalExecutor<'static>>,
+    context: &Arc<context::GatewayContext>,
+    io: Async<TcpStream>,
+    runner: &Rc<attempts::AttemptRunner>,
+) {
+    match socket::prepare(io) {
+        Ok(socket) => {
+            let connection = caller::CallerConnection::new(context.clone(), runner.clone(), socket);
+            executor.spawn(connection.serve()).detach();
+        }
+        Err(error) => log::debug!("connection dropped: {error}; the caller closed it"),
+    }
+}
+
+async fn trim(context: Arc<context::GatewayContext>, pools: Rc<pools::PoolSet>) {
+    loop {
+        Timer::after(TRIM_INTERVAL).await;
+        pools.trim(&context.view.load());
+    }
+}
--- /dev/null
+++ b/src/h1/reader.rs
@@ -0,0 +1,179 @@
+//! Reader of messages from one connection.
+
+use crate::h1;
+use crate::h1::{body, head, socket};
+use futures_lite::AsyncReadExt;
+use tokio_util::bytes::{Bytes, BytesMut};
+
+/// Bytes asked from the kernel at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Longest head of an answer, in bytes.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
+
+/// Buffered reading side of a connection.
+#[derive(Debug)]
+pub struct MessageReader {
+    socket: socket::SharedSocket,
+    buffer: BytesMut,
+}
+
+impl MessageReader {
+    /// Creates a reader of a connection on which nothing was read yet.
+    pub fn new(socket: socket::SharedSocket) -> MessageReader {
+        MessageReader {
+            socket,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Returns the connection.
+    pub fn socket(&self) -> &socket::SharedSocket {
+        &self.socket
+    }
+
+    /// Returns whether bytes arrived that belong to no message read so far.
+    pub fn has_surplus(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Reads more bytes; returns 0 if the peer closed.
+    async fn fill(&mut self) -> Result<usize, h1::ReadError> {
+        let start = self.buffer.len();
+        self.buffer.resize(start + READ_BYTES, 0);
+        let read = (&*self.socket).read(&mut self.buffer[start..]).await;
+        let count = *read.as_ref().unwrap_or(&0);
+        self.buffer.truncate(start + count);
+        Ok(read?)
+    }
+
+    /// Waits for the first byte of the next message.
+    pub async fn wait(&mut self) -> Result<(), h1::ReadError> {
+        if self.buffer.is_empty() {
+            self.socket.readable().await?;
+            if self.fill().await? == 0 {
+                return Err(h1::ReadError::Closed);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the head of a request of at most `limit` bytes.
+    pub async fn request_head(&mut self, limit: usize) -> Result<head::RequestHead, h1::ReadError> {
+        loop {
+            if has_head(&self.buffer) {
+                let raw = self.take_head();
+                if raw.len() > limit {
+                    return Err(h1::ReadError::HeadTooLarge(limit));
+                }
+                let parsed = head::RequestHead::parse(&raw)?;
+                let (head, _) = parsed.ok_or(h1::ReadError::Malformed("bad request head"))?;
+                return Ok(head);
+            }
+            if self.buffer.len() > limit {
+                return Err(h1::ReadError::HeadTooLarge(limit));
+            }
+            self.fill_or_cut().await?;
+        }
+    }
+
+    /// Reads the head of an answer to `method`, passing over interim answers.
+    pub async fn response_head(
+        &mut self,
+        method: &str,
+    ) -> Result<head::ResponseHead, h1::ReadError> {
+        loop {
+            if has_head(&self.buffer) {
+                let raw = self.take_head();
+                let parsed = head::ResponseHead::parse(&raw, method)?;
+                let (head, _) = parsed.ok_or(h1::ReadError::Malformed("bad answer head"))?;
+                if head.status >= 200 {
+                    return Ok(head);
+                }
+                continue;
+            }
+            if self.buffer.len() > MAX_RESPONSE_HEAD_BYTES {
+                return Err(h1::ReadError::HeadTooLarge(MAX_RESPONSE_HEAD_BYTES));
+            }
+            self.fill_or_cut().await?;
+        }
+    }
+
+    /// Reads a whole body of at most `limit` bytes.
+    pub async fn body(
+        &mut self,
+        framing: body::BodyFraming,
+        limit: usize,
+    ) -> Result<Bytes, h1::ReadError> {
+        match framing {
+            body::BodyFraming::Length(length) => self.sized_body(length, limit).await,
+            body::BodyFraming::Chunked => {
+                let mut decoder = body::ChunkDecoder::new(limit);
+                loop {
+                    if let Some(body) = decoder.decode(&mut self.buffer)? {
+                        return Ok(body);
+                    }
+                    self.fill_or_cut().await?;
+                }
+            }
+            body::BodyFraming::UntilClose => loop {
+                if self.buffer.len() > limit {
+                    return Err(h1::ReadError::BodyTooLarge(limit));
+                }
+                if self.fill().await? == 0 {
+                    return Ok(self.buffer.split().freeze());
+                }
+            },
+        }
+    }
+
+    async fn sized_body(&mut self, length: u64, limit: usize) -> Result<Bytes, h1::ReadError> {
+        if length > limit as u64 {
+            return Err(h1::ReadError::BodyTooLarge(limit));
+        }
+        let length = length as usize;
+        while self.buffer.len() < length {
+            self.fill_or_cut().await?;
+        }
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn fill_or_cut(&mut self) -> Result<(), h1::ReadError> {
+        let begun = !self.buffer.is_empty();
+        match self.fill().await? {
+            0 if begun => Err(h1::ReadError::Cut),
+            0 => Err(h1::ReadError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    fn take_head(&mut self) -> Bytes {
+        let length = head_length(&self.buffer).unwrap_or(self.buffer.len());
+        self.buffer.split_to(length).freeze()
+    }
+}
+
+fn has_head(buffer: &[u8]) -> bool {
+    head_length(buffer).is_some()
+}
+
+/// Returns the length of a complete head at the start of `buffer`.
+///
+/// Empty lines before the head belong to it, as the parser skips them.
+fn head_length(buffer: &[u8]) -> Option<usize> {
+    let start = buffer
+        .iter()
+        .position(|byte| !matches!(byte, b'\r' | b'\n'))?;
+    let mut line_start = start;
+    for (index, byte) in buffer.iter().enumerate().skip(start) {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buffer[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
--- /dev/null
+++ b/src/h1/server.rs
@@ -0,0 +1,63 @@
+//! Small server for the instance's own pages: readiness and metrics.
+
+use crate::h1::{reader, socket};
+use crate::timer;
+use async_io::Async;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// Time for which a connection may stay idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A page.
+#[derive(Clone, Debug)]
+pub struct PageAnswer {
+    pub status: u16,
+    pub content_type: &'static str,
+    pub body: Vec<u8>,
+}
+
+/// Answers to the paths of GET requests.
+pub type PageSource = Rc<dyn Fn(&str) -> PageAnswer>;
+
+/// Serves pages on a listening socket; `spawn` runs a task for each connection.
+pub async fn serve(
+    listener: Async<TcpListener>,
+    pages: PageSource,
+    spawn: impl Fn(std::pin::Pin<Box<dyn Future<Output = ()>>>),
+) {
+    loop {
+        let Ok((io, _)) = listener.accept().await else {
+            async_io::Timer::after(Duration::from_millis(20)).await;
+            continue;
+        };
+        if let Ok(socket) = socket::prepare(io) {
+            spawn(Box::pin(serve_connection(socket, pages.clone())));
+        }
+    }
+}
+
+async fn serve_connection(socket: socket::SharedSocket, pages: PageSource) {
+    let mut reader = reader::MessageReader::new(socket.clone());
+    loop {
+        let head = timer::within(IDLE_TIMEOUT, reader.request_head(MAX_HEAD_BYTES)).await;
+        let Some(Ok(head)) = head else { return };
+        let page = pages(head.path());
+        let mut bytes = format!(
+            "HTTP/1.1 {} Page\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n",
+            page.status,
+            page.content_type,
+            page.body.len()
+        )
+        .into_bytes();
+        bytes.extend_from_slice(&page.body);
+        let written = socket::write_all(&socket, &bytes).await;
+        if written.is_err() || !head.keep_alive {
+            return;
+        }
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -55,4 +55,10 @@
         let path = format!("{team}/{service}/{upstream}");
         UpstreamKey(xxh3::xxh3_64(path.as_bytes()))
     }
+
+    /// Derives the key of one life of an upstream that registers itself.
+    pub fn derive_life(service: &str, id: &str, born_ms: u64) -> UpstreamKey {
+        let path = format!("{service}/{id}");
+        UpstreamKey(xxh3::xxh3_64_with_seed(path.as_bytes(), born_ms))
+    }
 }
--- a/src/link.rs
+++ b/src/link.rs
@@ -3,6 +3,7 @@
 //! One connection per direction and pair, opened on demand. A frame that cannot
 //! be sent at once is dropped: the control cores repeat what matters.
 
+use crate::timer;
 use crate::wire;
 use async_channel::{Receiver, Sender, TrySendError};
 use async_executor::LocalExecutor;
@@ -87,10 +88,10 @@
 
 async fn send_frames(address: SocketAddr, queue: &Receiver<Vec<u8>>) -> io::Result<()> {
     let connect = Async::<TcpStream>::connect(address);
-    let connected = crate::proxy::within(CONNECT_TIMEOUT, connect).await;
+    let connected = timer::within(CONNECT_TIMEOUT, connect).await;
     let io = connected.ok_or(io::ErrorKind::TimedOut)??;
     let mut socket = frame_socket(io);
-    while let Some(Ok(frame)) = crate::proxy::within(IDLE_LIFE, queue.recv()).await {
+    while let Some(Ok(frame)) = timer::within(IDLE_LIFE, queue.recv()).await {
         socket.feed(Bytes::from(frame)).await?;
         while let Ok(frame) = queue.try_recv() {
             socket.feed(Bytes::from(frame)).await?;
--- /dev/null
+++ b/src/ownership/holding.rs
@@ -0,0 +1,241 @@
+//! One range's grant as the leader drives it.
+
+use crate::ids;
+use crate::ownership::record;
+use crate::range;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// Most that an upstream's clock runs slow, in percent.
+pub const CLOCK_DRIFT_PERCENT: u32 = 2;
+
+/// Time allowed to a grant call; the connection is cut after it.
+pub const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time allowed to a release call, which waits for running work.
+pub const RELEASE_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Time that bytes of a cut call may still need to arrive.
+const ARRIVAL_SLACK: Duration = Duration::from_millis(400);
+
+/// Pause before a call without an answer is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Refused connections after which an unregistered upstream counts as ended.
+const DEATH_REFUSALS: u32 = 2;
+
+/// Returns how long after it was sent a grant may be held.
+pub fn hold_bound(hold: Duration) -> Duration {
+    hold + hold * CLOCK_DRIFT_PERCENT / 100 + GRANT_TIMEOUT + ARRIVAL_SLACK
+}
+
+/// Why an upstream is no longer waited for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FormerState {
+    /// It may hold the range.
+    Holding,
+    /// It acknowledged the release.
+    Released,
+    /// Its life certainly ended.
+    Ended,
+}
+
+/// An upstream that must let go of a range.
+#[derive(Clone, Debug)]
+pub struct LiveFormer {
+    pub former: record::FormerOwner,
+    pub state: FormerState,
+    /// Sending time of the last grant that it may hold.
+    pub sent: Duration,
+    /// Sending time of the last grant that was not answered.
+    pub unanswered: Option<Duration>,
+    pub in_flight: bool,
+    pub release_at: Duration,
+    refusals: u32,
+}
+
+impl LiveFormer {
+    /// Returns whether the upstream certainly does not hold the range.
+    pub fn is_cleared(&self, now: Duration, floor: Duration, hold: Duration) -> bool {
+        let over = |sent: Duration| now >= floor && now >= sent + hold_bound(hold);
+        match self.state {
+            FormerState::Ended => true,
+            FormerState::Released => now >= floor && self.unanswered.is_none_or(over),
+            FormerState::Holding => over(self.sent),
+        }
+    }
+
+    /// Notes a release call without an answer.
+    pub fn note_failure(&mut self, now: Duration, refused: bool, registered: bool) {
+        self.in_flight = false;
+        self.release_at = now + RETRY_PAUSE;
+        if refused && !registered {
+            self.refusals += 1;
+        }
+        if self.refusals >= DEATH_REFUSALS {
+            self.state = FormerState::Ended;
+        }
+    }
+}
+
+/// Formers of one holding.
+pub type LiveFormers = SmallVec<[LiveFormer; 1]>;
+
+/// One range with the progress of its grant.
+#[derive(Clone, Debug)]
+pub struct LiveHolding {
+    pub range: range::KeyRange,
+    pub owner: ids::UpstreamKey,
+    pub fence: u64,
+    pub granted: bool,
+    pub formers: LiveFormers,
+    /// Token by which the owner takes the former owner's state over.
+    pub handover: Option<String>,
+    /// Sending time of the last grant that the owner may hold.
+    pub sent: Duration,
+    /// Sending time of the last grant that was not answered.
+    pub unanswered: Option<Duration>,
+    /// Sending time of the last acknowledged grant.
+    pub confirmed: Option<Duration>,
+    pub in_flight: bool,
+    pub grant_at: Duration,
+    /// When the range got its owner.
+    pub since: Duration,
+    /// Whether a pending write changes the owner or the range.
+    pub changing: bool,
+    failures: u32,
+}
+
+impl LiveHolding {
+    /// Creates the state of a recorded holding of which nothing is known yet.
+    pub fn from_record(now: Duration, holding: &record::Holding) -> LiveHolding {
+        let formers = holding.formers.iter().map(|former| LiveFormer {
+            former: *former,
+            state: FormerState::Holding,
+            sent: now,
+            unanswered: None,
+            in_flight: false,
+            release_at: now,
+            refusals: 0,
+        });
+        LiveHolding {
+            range: holding.range,
+            owner: holding.owner,
+            fence: holding.fence,
+            granted: holding.granted,
+            formers: formers.collect(),
+            handover: None,
+            sent: now,
+            unanswered: None,
+            confirmed: None,
+            in_flight: false,
+            grant_at: now,
+            since: now,
+            changing: false,
+            failures: 0,
+        }
+    }
+
+    /// Creates the state of a range that nobody ever owned.
+    pub fn first(
+        now: Duration,
+        range: range::KeyRange,
+        owner: ids::UpstreamKey,
+        fence: u64,
+    ) -> LiveHolding {
+        LiveHolding::from_record(
+            now,
+            &record::Holding {
+                range,
+                owner,
+                fence,
+                granted: false,
+                formers: SmallVec::new(),
+            },
+        )
+    }
+
+    /// Returns the stored form.
+    pub fn to_record(&self) -> record::Holding {
+        record::Holding {
+            range: self.range,
+            owner: self.owner,
+            fence: self.fence,
+            granted: self.granted,
+            formers: self.formers.iter().map(|former| former.former).collect(),
+        }
+    }
+
+    /// Returns a part of the holding with the same owner.
+    pub fn part(&self, range: range::KeyRange) -> LiveHolding {
+        LiveHolding {
+            range,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the holding with another owner, which waits for the present one.
+    pub fn moved(&self, now: Duration, owner: ids::UpstreamKey, fence: u64) -> LiveHolding {
+        let mut formers = self.formers.clone();
+        formers.push(LiveFormer {
+            former: record::FormerOwner {
+                key: self.owner,
+                fence: self.fence,
+            },
+            state: FormerState::Holding,
+            sent: self.sent,
+            unanswered: self.unanswered,
+            in_flight: false,
+            release_at: now,
+            refusals: 0,
+        });
+        let fresh = LiveHolding::first(now, self.range, owner, fence);
+        LiveHolding { formers, ..fresh }
+    }
+
+    /// Returns whether nothing is under way in the range.
+    pub fn is_settled(&self) -> bool {
+        self.granted && self.formers.is_empty() && !self.changing
+    }
+
+    /// Returns whether a call for the range has no answer yet.
+    pub fn is_busy(&self) -> bool {
+        self.in_flight || self.formers.iter().any(|former| former.in_flight)
+    }
+
+    /// Returns whether the last grant call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Returns whether the owner's grant has certainly run out.
+    pub fn is_lapsed(&self, now: Duration, floor: Duration, hold: Duration) -> bool {
+        !self.in_flight && now >= floor && now >= self.sent + hold_bound(hold)
+    }
+
+    /// Notes that the owner acknowledged a grant sent at `sent`.
+    pub fn note_granted(&mut self, sent: Duration, renew: Duration) -> bool {
+        self.in_flight = false;
+        self.failures = 0;
+        self.sent = sent;
+        self.confirmed = Some(sent);
+        self.grant_at = sent + renew;
+        self.handover = None;
+        let first = !self.granted;
+        self.granted = true;
+        self.formers.clear();
+        first
+    }
+
+    /// Notes a grant call without an answer; `written` if the upstream may have got it.
+    pub fn note_failure(&mut self, now: Duration, sent: Duration, written: bool, renew: Duration) {
+        self.in_flight = false;
+        self.failures += 1;
+        if written {
+            self.sent = sent;
+            self.unanswered = Some(sent);
+        }
+        let pause = RETRY_PAUSE * self.failures.min(8);
+        self.grant_at = now + pause.min(renew);
+    }
+}
--- /dev/null
+++ b/src/ownership/leveling.rs
@@ -0,0 +1,192 @@
+//! Choice of the ranges that change their owner.
+//!
+//! Load follows the hottest keys, which lie close together: the narrowest part
+//! of an overloaded owner's ranges that carries the excess goes to the least
+//! loaded upstream.
+
+use crate::ids;
+use crate::ownership::{holding, load, owners};
+use crate::range;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Interval of leveling.
+pub const LEVEL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which a range stays where it was moved.
+const REST: Duration = Duration::from_millis(1500);
+
+/// Most moves of one round.
+const MAX_MOVES: usize = 6;
+
+/// Load over the mean at which an owner gives keys away.
+const OVERLOAD: f32 = 1.35;
+
+/// Requests counted in the whole service below which nothing is moved for its load.
+const MIN_TOTAL: f32 = 60.0;
+
+/// Part of the whole load that is not worth a move.
+const MIN_PART: f32 = 0.008;
+
+/// Weight of the mere size of an upstream's ranges, as part of the whole load.
+const SIZE_WEIGHT: f32 = 0.05;
+
+/// Parts into which a lost owner's range is divided at the most.
+const MAX_PARTS: usize = 4;
+
+/// A part of a range and its next owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RangeMove {
+    pub range: range::KeyRange,
+    pub to: ids::UpstreamKey,
+}
+
+/// Loads of the upstreams that take keys.
+#[derive(Debug)]
+pub struct LoadLedger {
+    /// Load and capacity of each upstream.
+    entries: BTreeMap<ids::UpstreamKey, (f32, f32)>,
+}
+
+impl LoadLedger {
+    /// Sums up the load of each usable upstream.
+    pub fn new(
+        now: Duration,
+        holdings: &[holding::LiveHolding],
+        candidates: &owners::CandidateTable,
+        load: &load::LoadMap,
+    ) -> LoadLedger {
+        let usable = candidates.usable();
+        let mut entries: BTreeMap<_, _> = usable
+            .map(|found| (found.info.key, (0.0, found.capacity(now))))
+            .collect();
+        let size_load = load.total().max(1.0) * SIZE_WEIGHT / load::BUCKETS as f32;
+        for holding in holdings {
+            if let Some((sum, _)) = entries.get_mut(&holding.owner) {
+                *sum += load.load(&holding.range) + size_load * load.width(&holding.range);
+            }
+        }
+        LoadLedger { entries }
+    }
+
+    fn relative((sum, capacity): (f32, f32)) -> f32 {
+        sum / capacity
+    }
+
+    fn mean(&self) -> f32 {
+        let sum: f32 = self.entries.values().map(|entry| entry.0).sum();
+        let capacity: f32 = self.entries.values().map(|entry| entry.1).sum();
+        sum / capacity.max(1.0)
+    }
+
+    /// Returns the upstream with the least load for its capacity.
+    pub fn least(&self) -> Option<ids::UpstreamKey> {
+        let by_load = |one: &&ids::UpstreamKey, other: &&ids::UpstreamKey| {
+            let load = |key: &ids::UpstreamKey| LoadLedger::relative(self.entries[key]);
+            load(one).total_cmp(&load(other))
+        };
+        self.entries.keys().min_by(by_load).copied()
+    }
+
+    fn by_load(&self) -> Vec<ids::UpstreamKey> {
+        let mut keys: Vec<_> = self.entries.keys().copied().collect();
+        let load = |key: &ids::UpstreamKey| LoadLedger::relative(self.entries[key]);
+        keys.sort_by(|one, other| load(other).total_cmp(&load(one)));
+        keys
+    }
+
+    /// Keeps an upstream from getting keys, unless no other is left.
+    pub fn remove(&mut self, key: ids::UpstreamKey) {
+        if self.entries.len() > 1 {
+            self.entries.remove(&key);
+        }
+    }
+
+    /// Adds load to an upstream.
+    pub fn add(&mut self, key: ids::UpstreamKey, amount: f32) {
+        if let Some((sum, _)) = self.entries.get_mut(&key) {
+            *sum += amount;
+        }
+    }
+}
+
+/// Divides the range of a lost or leaving owner among the least loaded upstreams.
+pub fn replace_owner(
+    ledger: &mut LoadLedger,
+    load: &load::LoadMap,
+    lost: &range::KeyRange,
+) -> Vec<RangeMove> {
+    let mut moves = Vec::new();
+    for part in load.divide(lost, MAX_PARTS.min(ledger.entries.len())) {
+        if let Some(to) = ledger.least() {
+            ledger.add(to, load.load(&part).max(1.0));
+            moves.push(RangeMove { range: part, to });
+        }
+    }
+    moves
+}
+
+/// Chooses moves that take load off overloaded owners.
+pub fn level(
+    now: Duration,
+    holdings: &[holding::LiveHolding],
+    ledger: &mut LoadLedger,
+    load: &load::LoadMap,
+) -> Vec<RangeMove> {
+    let mut moves: Vec<RangeMove> = Vec::new();
+    let total = load.total();
+    if total < MIN_TOTAL {
+        return moves;
+    }
+    for _ in 0..MAX_MOVES {
+        let Some(found) = next_move(now, holdings, ledger, load, &moves) else {
+            break;
+        };
+        let (from, range_move) = found;
+        let amount = load.load(&range_move.range);
+        ledger.add(from, -amount);
+        ledger.add(range_move.to, amount);
+        moves.push(range_move);
+    }
+    moves
+}
+
+fn next_move(
+    now: Duration,
+    holdings: &[holding::LiveHolding],
+    ledger: &LoadLedger,
+    load: &load::LoadMap,
+    chosen: &[RangeMove],
+) -> Option<(ids::UpstreamKey, RangeMove)> {
+    let mean = ledger.mean();
+    let to = ledger.least()?;
+    let (low_sum, low_capacity) = ledger.entries[&to];
+    let room = mean * low_capacity - low_sum;
+    let least_part = load.total() * MIN_PART;
+    for from in ledger.by_load() {
+        let (sum, capacity) = ledger.entries[&from];
+        let excess = sum - mean * capacity;
+        if sum <= mean * capacity * OVERLOAD || from == to {
+            return None;
+        }
+        let amount = excess.min(room);
+        if amount < least_part {
+            continue;
+        }
+        let movable = holdings.iter().filter(|holding| {
+            let chosen = chosen.iter().any(|m| m.range.overlaps(&holding.range));
+            holding.owner == from
+                && holding.is_settled()
+                && !holding.is_busy()
+                && now >= holding.since + REST
+                && !chosen
+        });
+        let part = movable
+            .filter_map(|holding| load.find_part(&holding.range, amount * 0.6, amount * 1.25))
+            .min_by_key(|part| part.last - part.first);
+        if let Some(range) = part {
+            return Some((from, RangeMove { range, to }));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/ownership/load.rs
@@ -0,0 +1,152 @@
+//! Request rates over the key space, as instances report them.
+
+use crate::range;
+use std::time::Duration;
+
+/// Buckets into which a key space is divided for counting.
+pub const BUCKETS: usize = 16_384;
+
+/// Time after which an old count weighs `1/e`; a hot key lasts some seconds.
+const DECAY: Duration = Duration::from_millis(1500);
+
+/// Requests counted in one bucket.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BucketCount {
+    pub bucket: u32,
+    pub count: u32,
+}
+
+/// Returns the bucket of a key in a space whose greatest key is `last`.
+pub fn bucket_of(key: u64, last: u64) -> usize {
+    let position = u128::from(key) * BUCKETS as u128;
+    let bucket = position / (u128::from(last) + 1);
+    (bucket as usize).min(BUCKETS - 1)
+}
+
+/// Returns the first key of a bucket.
+fn first_key(bucket: usize, last: u64) -> u64 {
+    let space = u128::from(last) + 1;
+    let first = (bucket as u128 * space).div_ceil(BUCKETS as u128);
+    first.min(u128::from(last)) as u64
+}
+
+/// Decaying request rates of all buckets.
+#[derive(Clone, Debug)]
+pub struct LoadMap {
+    last: u64,
+    /// Decayed number of requests of each bucket.
+    counts: Vec<f32>,
+    decayed: Duration,
+}
+
+impl LoadMap {
+    /// Creates the map of a key space whose greatest key is `last`.
+    pub fn new(last: u64) -> LoadMap {
+        LoadMap {
+            last,
+            counts: vec![0.0; BUCKETS],
+            decayed: Duration::ZERO,
+        }
+    }
+
+    /// Adds counts that an instance reports.
+    pub fn add(&mut self, counts: &[BucketCount]) {
+        for count in counts {
+            if let Some(total) = self.counts.get_mut(count.bucket as usize) {
+                *total += count.count as f32;
+            }
+        }
+    }
+
+    /// Lets old counts fade.
+    pub fn decay(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.decayed);
+        self.decayed = now;
+        let factor = (-elapsed.as_secs_f32() / DECAY.as_secs_f32()).exp();
+        for count in &mut self.counts {
+            *count *= factor;
+        }
+    }
+
+    /// Returns the buckets that lie within a range.
+    fn buckets(&self, range: &range::KeyRange) -> std::ops::RangeInclusive<usize> {
+        bucket_of(range.first, self.last)..=bucket_of(range.last, self.last)
+    }
+
+    /// Returns the load of a range.
+    pub fn load(&self, range: &range::KeyRange) -> f32 {
+        self.counts[self.buckets(range)].iter().sum()
+    }
+
+    /// Returns the number of buckets in a range.
+    pub fn width(&self, range: &range::KeyRange) -> f32 {
+        self.buckets(range).count() as f32
+    }
+
+    /// Returns the load of the whole space.
+    pub fn total(&self) -> f32 {
+        self.counts.iter().sum()
+    }
+
+    /// Returns the narrowest part of `range` with a load between `least` and `most`.
+    ///
+    /// A part never begins or ends within a bucket, unless `range` does.
+    pub fn find_part(
+        &self,
+        range: &range::KeyRange,
+        least: f32,
+        most: f32,
+    ) -> Option<range::KeyRange> {
+        let buckets = self.buckets(range);
+        let (start, end) = (*buckets.start(), *buckets.end());
+        let mut best: Option<(usize, usize)> = None;
+        let mut from = start;
+        let mut sum = 0.0;
+        for to in start..=end {
+            sum += self.counts[to];
+            while sum > most && from < to {
+                sum -= self.counts[from];
+                from += 1;
+            }
+            while from < to && sum - self.counts[from] >= least {
+                sum -= self.counts[from];
+                from += 1;
+            }
+            let fits = sum >= least && sum <= most;
+            if fits && best.is_none_or(|(a, b)| to - from < b - a) {
+                best = Some((from, to));
+            }
+        }
+        let (from, to) = best?;
+        let first = first_key(from, self.last).max(range.first);
+        let last = match to + 1 < BUCKETS {
+            true => (first_key(to + 1, self.last) - 1).min(range.last),
+            false => range.last,
+        };
+        (first <= last).then_some(range::KeyRange { first, last })
+    }
+
+    /// Divides a range into at most `count` parts of about equal load.
+    pub fn divide(&self, range: &range::KeyRange, count: usize) -> Vec<range::KeyRange> {
+        let share = self.load(range) / count.max(1) as f32;
+        let mut parts = Vec::new();
+        let mut first = range.first;
+        let mut sum = 0.0;
+        for bucket in self.buckets(range) {
+            sum += self.counts[bucket];
+            let next = first_key((bucket + 1).min(BUCKETS - 1), self.last);
+            let inner = next > first && next <= range.last;
+            if parts.len() + 1 < count && share > 0.0 && sum >= share && inner {
+                let last = next - 1;
+                parts.push(range::KeyRange { first, last });
+                first = next;
+                sum = 0.0;
+            }
+        }
+        parts.push(range::KeyRange {
+            first,
+            last: range.last,
+        });
+        parts
+    }
+}
--- /dev/null
+++ b/src/ownership/owners.rs
@@ -0,0 +1,88 @@
+//! Upstreams that can own keys, as the planning leader sees them.
+
+use crate::directory;
+use crate::ids;
+use crate::ownership::record;
+use std::time::Duration;
+
+/// Part of its capacity that an upstream offers while it warms up.
+const WARMING_CAPACITY: f32 = 0.5;
+
+/// One upstream that may own keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerCandidate {
+    pub info: record::OwnerInfo,
+    pub draining: bool,
+    pub slots: u32,
+    /// Until when it is slow after its start.
+    pub warm_at: Duration,
+}
+
+impl From<&directory::KnownUpstream> for OwnerCandidate {
+    fn from(known: &directory::KnownUpstream) -> OwnerCandidate {
+        OwnerCandidate {
+            info: record::OwnerInfo {
+                key: known.key,
+                id: known.entry.id.clone(),
+                born_ms: known.entry.born_ms,
+                address: known.entry.address,
+            },
+            draining: known.draining_since.is_some(),
+            slots: known.entry.slots,
+            warm_at: known.warm_at,
+        }
+    }
+}
+
+impl OwnerCandidate {
+    /// Returns the load that the upstream can carry, relative to others.
+    pub fn capacity(&self, now: Duration) -> f32 {
+        let slots = self.slots.max(1) as f32;
+        match now < self.warm_at {
+            true => slots * WARMING_CAPACITY,
+            false => slots,
+        }
+    }
+}
+
+/// All upstreams of one service that may own keys.
+#[derive(Clone, Debug, Default)]
+pub struct CandidateTable {
+    candidates: Vec<OwnerCandidate>,
+}
+
+impl CandidateTable {
+    /// Creates a table.
+    pub fn new(candidates: Vec<OwnerCandidate>) -> CandidateTable {
+        CandidateTable { candidates }
+    }
+
+    /// Keeps matching upstreams from getting keys, unless no other is left.
+    pub fn exclude(&mut self, excluded: impl Fn(ids::UpstreamKey) -> bool) {
+        if self.usable().all(|found| excluded(found.info.key)) {
+            return;
+        }
+        self.candidates.retain(|found| !excluded(found.info.key));
+    }
+
+    /// Returns a registered upstream.
+    pub fn get(&self, key: ids::UpstreamKey) -> Option<&OwnerCandidate> {
+        self.candidates.iter().find(|found| found.info.key == key)
+    }
+
+    /// Returns the upstreams that take new keys.
+    pub fn usable(&self) -> impl Iterator<Item = &OwnerCandidate> {
+        self.candidates.iter().filter(|found| !found.draining)
+    }
+
+    /// Returns whether a life certainly ended: another one has its id or address.
+    pub fn is_replaced(&self, info: &record::OwnerInfo) -> bool {
+        let replaces = |found: &OwnerCandidate| {
+            let other = &found.info;
+            let reborn = other.id == info.id && other.born_ms > info.born_ms;
+            let reused = other.address == info.address && other.id != info.id;
+            reborn || (reused && other.born_ms > info.born_ms)
+        };
+        self.candidates.iter().any(replaces)
+    }
+}
--- /dev/null
+++ b/src/ownership/term.rs
@@ -0,0 +1,89 @@
+//! Leadership of one service: its lease, its authority and its predecessor.
+
+use crate::ids;
+use crate::ownership::{holding, record};
+use std::time::Duration;
+
+/// Life of the leader's key in the store without renewal.
+pub const LEASE_TTL: Duration = Duration::from_millis(2000);
+
+/// Interval at which a leader renews its lease.
+pub const KEEP_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Time after its last proven contact with the store for which a leader acts.
+///
+/// Covers an outage of the store; a successor waits it out before it moves keys.
+pub const AUTHORITY: Duration = Duration::from_secs(10);
+
+/// Longest time that a new leader waits for its predecessor to have stopped.
+pub fn predecessor_wait() -> Duration {
+    let span = AUTHORITY - LEASE_TTL;
+    span + span * holding::CLOCK_DRIFT_PERCENT / 100
+}
+
+/// Former leader that may still renew grants.
+#[derive(Clone, Debug)]
+pub struct PredecessorState {
+    pub node: record::NodeInfo,
+    /// When its authority has run out.
+    pub ends: Duration,
+}
+
+impl PredecessorState {
+    /// Returns whether a sign of life of a run proves that the predecessor stopped.
+    pub fn is_ended_by(&self, name: &str, run: ids::InstanceKey, acting: bool) -> bool {
+        name == self.node.name && (run != self.node.run || !acting)
+    }
+}
+
+/// A write to the store whose result is not known yet.
+#[derive(Clone, Debug)]
+pub struct PendingCommit {
+    pub record: record::OwnershipRecord,
+    pub holdings: Vec<holding::LiveHolding>,
+    pub in_flight: bool,
+    /// When a write without an answer is sent again.
+    pub retry_at: Duration,
+    /// Whether the write ends this instance's leadership.
+    pub resigns: bool,
+}
+
+/// State of a leading instance.
+#[derive(Clone, Debug)]
+pub struct LeaderTerm {
+    pub lease: u64,
+    /// Revision at which this instance became the leader.
+    pub revision: u64,
+    /// Sending time of the last call that proved the lease.
+    pub contact: Duration,
+    pub keep_at: Duration,
+    pub keep_in_flight: bool,
+    pub commit: Option<PendingCommit>,
+    pub predecessor: Option<PredecessorState>,
+    /// When no grant of a predecessor can be held any more.
+    pub floor: Duration,
+}
+
+impl LeaderTerm {
+    /// Returns whether this instance may still act.
+    pub fn has_authority(&self, now: Duration) -> bool {
+        now < self.contact + AUTHORITY
+    }
+}
+
+/// This instance's part in the leadership.
+#[derive(Clone, Debug)]
+pub enum TermState {
+    Following,
+    /// A lease was asked for.
+    Opening {
+        since: Duration,
+    },
+    /// The lease is open; the leader's key is being written.
+    Claiming {
+        lease: u64,
+        contact: Duration,
+        record: record::OwnershipRecord,
+    },
+    Leading(Box<LeaderTerm>),
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -9,8 +9,7 @@
 use crate::stream;
 use crate::view;
 use arc_swap::ArcSwap;
-use async_io::Timer;
-use futures_lite::future::{self, Future};
+use futures_lite::future;
 use futures_lite::io::AsyncReadExt;
 use http_types::{Body, Request, Response};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -193,13 +192,3 @@
     read.map_err(refusal::RefusalKind::CutBody)?;
     Ok(RequestBody::Kept(bytes))
 }
-
-/// Runs a future for at most `time`; `None` if it did not end.
-pub async fn within<T>(time: Duration, future: impl Future<Output = T>) -> Option<T> {
-    let ended = async { Some(future.await) };
-    let late = async {
-        Timer::after(time).await;
-        None
-    };
-    future::or(ended, late).await
-}
--- a/src/range.rs
+++ b/src/range.rs
@@ -34,8 +34,13 @@
 
     /// Splits the whole key space into `count` ranges of equal size.
     pub fn split_space(count: usize) -> Vec<KeyRange> {
-        let count = count.max(1) as u128;
-        let space = 1u128 << 64;
+        KeyRange::divide(u64::MAX, count)
+    }
+
+    /// Divides the keys from 0 to `last` into `count` ranges of about equal size.
+    pub fn divide(last: u64, count: usize) -> Vec<KeyRange> {
+        let space = u128::from(last) + 1;
+        let count = (count.max(1) as u128).min(space);
         (0..count)
             .map(|i| KeyRange {
                 first: (space * i / count) as u64,
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,132 @@
+//! Routing configuration: which requests are allowed, and where they go.
+//!
+//! A route is chosen by host and by the longest prefix of the path. A
+//! configuration is replaced as a whole and only by a newer version.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestKind {
+    /// May be repeated after an unknown outcome.
+    Idempotent,
+    /// Runs at most once.
+    Single,
+    /// Runs at most once and carries a large body.
+    Upload,
+}
+
+impl RequestKind {
+    /// Returns whether a request may be sent again although it may have run.
+    pub fn is_idempotent(self) -> bool {
+        self == RequestKind::Idempotent
+    }
+}
+
+/// Share of a route's requests that goes to one service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceShare {
+    pub service: Arc<str>,
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteRule {
+    pub name: Arc<str>,
+    /// Start of the paths that the route serves, with a slash at both ends.
+    pub prefix: String,
+    pub kind: RequestKind,
+    /// Services that share the requests; never empty.
+    pub shares: Vec<ServiceShare>,
+    /// Longest time that a caller waits for an answer.
+    pub timeout: Duration,
+    /// Time within which an answer is useful in full.
+    pub objective: Duration,
+    /// Most upstreams to which one request is sent.
+    pub attempts: u32,
+    /// Rank under overload; 0 is served first.
+    pub priority: u32,
+}
+
+/// Division of a service's keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeySpace {
+    /// Greatest key; the least is 0.
+    pub last: u64,
+}
+
+/// One service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceSpec {
+    pub name: Arc<str>,
+    /// Path that tells whether an upstream is healthy.
+    pub health_path: String,
+    /// Connections that one upstream accepts from all instances together.
+    pub connections: u32,
+    /// Present if each key is owned by one upstream.
+    pub key_space: Option<KeySpace>,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    pub head_bytes: usize,
+    pub body_bytes: usize,
+    pub head_timeout: Duration,
+    pub idle_timeout: Duration,
+}
+
+/// Routing configuration of a site.
+#[derive(Clone, Debug)]
+pub struct RoutingConfig {
+    pub version: u64,
+    pub limits: CallerLimits,
+    pub services: HashMap<Arc<str>, Arc<ServiceSpec>>,
+    /// Routes of each host, the longest prefix first.
+    hosts: HashMap<String, Vec<Arc<RouteRule>>>,
+}
+
+impl RoutingConfig {
+    /// Creates a configuration from the routes of each host.
+    pub fn new(
+        version: u64,
+        limits: CallerLimits,
+        services: Vec<ServiceSpec>,
+        routes: Vec<(String, RouteRule)>,
+    ) -> RoutingConfig {
+        let mut hosts: HashMap<String, Vec<Arc<RouteRule>>> = HashMap::new();
+        for (host, rule) in routes {
+            let host = host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(Arc::new(rule));
+        }
+        for rules in hosts.values_mut() {
+            rules.sort_by(|one, other| other.prefix.len().cmp(&one.prefix.len()));
+        }
+        let services = services.into_iter();
+        RoutingConfig {
+            version,
+            limits,
+            services: services
+                .map(|service| (service.name.clone(), Arc::new(service)))
+                .collect(),
+            hosts,
+        }
+    }
+
+    /// Returns the route of a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let rules = match self.hosts.get(host) {
+            Some(rules) => rules,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        rules.iter().find(|rule| path.starts_with(&rule.prefix))
+    }
+
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -5,6 +5,7 @@
 use crate::proxy;
 use crate::refusal;
 use crate::stream;
+use crate::timer;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::future;
@@ -55,7 +56,7 @@
     listener: Async<TcpListener>,
 ) {
     while !context.is_closing() {
-        let accepted = proxy::within(STOP_POLL, listener.accept()).await;
+        let accepted = timer::within(STOP_POLL, listener.accept()).await;
         match accepted {
             None => {}
             Some(Ok((io, _))) => {
@@ -88,7 +89,7 @@
 
 async fn wait_request(context: &proxy::ProxyContext, stream: &stream::HttpStream) -> bool {
     loop {
-        match proxy::within(STOP_POLL, stream.wait_message()).await {
+        match timer::within(STOP_POLL, stream.wait_message()).await {
             Some(arrived) => return arrived,
             None if context.is_closing() => return false,
             None => {}
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -5,7 +5,7 @@
 //! a request only if no byte was sent or the method is GET.
 
 use async_executor::LocalExecutor;
-use godwitloom::{message, proxy, stream};
+use godwitloom::{message, proxy, stream, timer};
 use hdrhistogram::Histogram;
 use http_types::{Method, Request, Response, Url};
 use std::cell::RefCell;
@@ -220,7 +220,7 @@
             let body = body.map_err(|e| message::MessageError::Malformed(e.to_string()))?;
             Ok::<_, message::MessageError>((status, body))
         };
-        let answer = proxy::within(ANSWER_TIMEOUT, exchange).await;
+        let answer = timer::within(ANSWER_TIMEOUT, exchange).await;
         let answer = answer.ok_or(false)?.map_err(|_| idempotent)?;
         if stream.is_clean() {
             self.connection = Some(stream);
