Deliver answers under way when idle connections close

Change: an ended wait for the next request is told apart from a caller that closed; answers under way are written first.

Ruled out: the stop's own time limit, which was not reached.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -51,8 +51,10 @@
 /// Result of reading one request.
 enum ReadEnd {
     Request(Box<CallerRequest>),
-    /// The caller left, or the idle time is over.
+    /// The caller left; nobody waits for answers any more.
     Closed,
+    /// No further request is awaited; answers under way are still delivered.
+    Idle,
     Refused(answer::RefusalReason),
 }
 
@@ -138,6 +140,12 @@
                 }
                 Step::Read(_, ReadEnd::Refused(reason)) => finishing = Some(reason),
                 Step::Read(_, ReadEnd::Closed) => return,
+                Step::Read(reader, ReadEnd::Idle) => {
+                    if answers.is_empty() {
+                        return;
+                    }
+                    reading = Some(Box::pin(await_close(reader)));
+                }
             }
         }
     }
@@ -226,25 +234,33 @@
             Ok(request) => ReadEnd::Request(Box::new(request)),
             Err(error) => sort_error(error),
         },
-        Err(()) => ReadEnd::Closed,
+        Err(end) => end,
     };
     (reader, end)
 }
 
+/// Waits until the caller closes; bytes of further requests stay unread.
+async fn await_close(mut reader: reader::MessageReader) -> (reader::MessageReader, ReadEnd) {
+    if reader.wait().await.is_ok() {
+        future::pending::<()>().await;
+    }
+    (reader, ReadEnd::Closed)
+}
+
 /// Waits for the first byte of a request.
 async fn await_request(
     context: &context::GatewayContext,
     limits: routing::CallerLimits,
     reader: &mut reader::MessageReader,
-) -> Result<(), ()> {
+) -> Result<(), ReadEnd> {
     let closing = context.closing.listen();
     if context.is_closing() && !reader.has_surplus() {
-        return Err(());
+        return Err(ReadEnd::Idle);
     }
-    let arrived = async { reader.wait().await.map_err(|_| ()) };
+    let arrived = async { reader.wait().await.map_err(|_| ReadEnd::Closed) };
     let idle = async {
         timer::within(limits.idle_timeout, closing).await;
-        Err(())
+        Err(ReadEnd::Idle)
     };
     arrived.or(idle).await
 }
