Push accepted owners to followers; level several parts at once; read the store less often

Cause: each change of an owner cost every instance a store call, and moves off a hot range came one a second, since only one part of a range moved in a round.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -4,13 +4,14 @@
 use crate::gateway::{context, view};
 use crate::h1::server;
 use crate::ids;
+use crate::link;
 use crate::ownership::{core, load, owners, record};
 use crate::store;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,19 @@
 /// Instances assumed until a leader says how many there are.
 const ASSUMED_INSTANCES: usize = 9;
 
+/// Time for which the store keeps a watch waiting.
+///
+/// Bounds the age of what is known if a connection falls silent.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
+
+/// Pause between two watches, so that changes in quick succession cost one call.
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
+
+/// Wait of the watches that probe whether a lost store answers again.
+///
+/// A long one sent just before the store returns would be waited out in vain.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
+
 /// First pause after a failed call to the store; doubled each time.
 const FIRST_STORE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -52,6 +66,7 @@
 /// Instance that reports to this leader.
 #[derive(Clone, Debug)]
 struct Follower {
+    address: SocketAddr,
     heard: Duration,
     reports: u32,
 }
@@ -74,6 +89,7 @@
     mirror: RefCell<mirror::StoreMirror>,
     services: RefCell<BTreeMap<String, ServiceControl>>,
     gossip: Async<UdpSocket>,
+    links: link::LinkSet,
     instances: Cell<usize>,
 }
 
@@ -88,10 +104,12 @@
         gossip: Async<UdpSocket>,
     ) -> Rc<ControlThread> {
         let mirror = mirror::StoreMirror::new(schema, context.log.clone());
+        let executor = Rc::new(LocalExecutor::new());
         Rc::new(ControlThread {
             identity,
             context,
-            executor: Rc::new(LocalExecutor::new()),
+            links: link::LinkSet::new(executor.clone()),
+            executor,
             store,
             grants,
             mirror: RefCell::new(mirror),
@@ -102,7 +120,8 @@
     }
 
     /// Runs until `stop` ends.
-    pub fn run(self: &Rc<Self>, stop: impl Future<Output = ()>) {
+    pub fn run(self: &Rc<Self>, links: Async<TcpListener>, stop: impl Future<Output = ()>) {
+        self.spawn(Self::accept_links(self.clone(), links));
         self.spawn(Self::follow_store(self.clone()));
         self.spawn(Self::tick(self.clone()));
         self.spawn(Self::report(self.clone()));
@@ -195,6 +214,9 @@
                 self.spawn(Self::release(self.clone(), name, command));
             }
             core::OwnershipAction::Challenge(node) => self.send_beacon(service, node.address),
+            core::OwnershipAction::Announce { record, revision } => {
+                self.announce(service, &record, revision);
+            }
             core::OwnershipAction::Event(note) => self.note(service, &note),
         }
     }
@@ -206,6 +228,57 @@
         });
     }
 
+    /// Carries an accepted record to the other instances without the store's delay.
+    fn announce(self: &Rc<Self>, service: &str, record: &record::OwnershipRecord, revision: u64) {
+        let value = Bytes::from(record.encode());
+        let content = gossip::GossipContent::Record {
+            revision,
+            value: value.clone(),
+        };
+        let frame = self.message(service, content).encode();
+        let addresses: Vec<SocketAddr> = {
+            let services = self.services.borrow();
+            let followers = services.get(service).map(|control| &control.followers);
+            let followers = followers.into_iter().flat_map(HashMap::values);
+            followers.map(|follower| follower.address).collect()
+        };
+        for address in addresses {
+            self.count_bytes(frame.len());
+            self.links.send(address, frame.clone());
+        }
+        self.take_record(service, revision, value);
+    }
+
+    fn take_record(self: &Rc<Self>, service: &str, revision: u64, value: Bytes) {
+        let effect = self
+            .mirror
+            .borrow_mut()
+            .put_record(service, revision, value);
+        if effect.view {
+            self.publish();
+        }
+    }
+
+    async fn accept_links(this: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((io, sender)) => {
+                    let receiver = this.clone();
+                    this.spawn(async move {
+                        let take = |frame: &[u8]| receiver.take_message(frame, sender);
+                        if let Err(error) = link::receive_frames(io, take).await {
+                            log::debug!("link from {sender} ended: {error}; it is opened again");
+                        }
+                    });
+                }
+                Err(error) => {
+                    log::debug!("link not accepted: {error}; the next one follows");
+                    Timer::after(FIRST_STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+
     async fn open_lease(this: Rc<Self>, service: String, ttl: Duration) {
         let sent = this.now();
         let lease = match this.store.open_lease(ttl).await {
@@ -354,7 +427,7 @@
         let mut listed = false;
         loop {
             let result = match listed {
-                true => this.watch_once().await,
+                true => this.watch_once(lost_since.is_some()).await,
                 false => this.list_once(lost_since.is_some()).await,
             };
             match result {
@@ -364,6 +437,7 @@
                     if let Some(since) = lost_since.take() {
                         this.note_regained(since);
                     }
+                    Timer::after(WATCH_PAUSE).await;
                 }
                 Err(store::StoreError::Compacted) => listed = false,
                 Err(error) => {
@@ -407,10 +481,18 @@
         Ok(())
     }
 
-    async fn watch_once(self: &Rc<Self>) -> Result<(), store::StoreError> {
+    async fn watch_once(self: &Rc<Self>, lost: bool) -> Result<(), store::StoreError> {
         let after = self.mirror.borrow().as_of();
-        let batch = self.store.watch(after).await?;
-        let effect = self.mirror.borrow_mut().apply_batch(self.now(), batch);
+        let wait = if lost { PROBE_WAIT } else { WATCH_WAIT };
+        let batch = self.store.watch(after, wait).await?;
+        let now = self.now();
+        let effect = {
+            let mut mirror = self.mirror.borrow_mut();
+            if lost {
+                mirror.directory.regained(now);
+            }
+            mirror.apply_batch(now, batch)
+        };
         self.react(effect);
         Ok(())
     }
@@ -574,23 +656,27 @@
     }
 
     fn send_gossip(&self, service: &str, address: SocketAddr, content: gossip::GossipContent) {
-        let message = gossip::GossipMessage {
+        let datagram = self.message(service, content).encode();
+        self.count_bytes(datagram.len());
+        if let Err(error) = self.gossip.get_ref().send_to(&datagram, address) {
+            log::debug!("datagram to {address} not sent: {error}; it is repeated");
+        }
+    }
+
+    fn message(&self, service: &str, content: gossip::GossipContent) -> gossip::GossipMessage {
+        gossip::GossipMessage {
             service: service.to_owned(),
             run: self.identity.node.run,
             name: self.identity.node.name.clone(),
             content,
-        };
-        let datagram = message.encode();
-        self.context
-            .metrics
-            .control
-            .control_bytes
-            .add(datagram.len() as u64, &[]);
-        if let Err(error) = self.gossip.get_ref().send_to(&datagram, address) {
-            log::debug!("datagram to {address} not sent: {error}; it is repeated");
         }
     }
 
+    fn count_bytes(&self, bytes: usize) {
+        let counter = &self.context.metrics.control.control_bytes;
+        counter.add(bytes as u64, &[]);
+    }
+
     async fn receive_gossip(this: Rc<Self>) {
         let mut buffer = vec![0; gossip::MAX_DATAGRAM_BYTES];
         loop {
@@ -601,10 +687,14 @@
                     continue;
                 }
             };
-            match gossip::GossipMessage::decode(&buffer[..length]) {
-                Ok(message) => this.on_gossip(message, sender),
-                Err(error) => log::debug!("datagram from {sender} dropped: {error}"),
-            }
+            this.take_message(&buffer[..length], sender);
+        }
+    }
+
+    fn take_message(self: &Rc<Self>, bytes: &[u8], sender: SocketAddr) {
+        match gossip::GossipMessage::decode(bytes) {
+            Ok(message) => self.on_gossip(message, sender),
+            Err(error) => log::debug!("message from {sender} dropped: {error}"),
         }
     }
 
@@ -634,6 +724,9 @@
                     self.send_report(&service, sender, acting, Vec::new());
                 }
             }
+            gossip::GossipContent::Record { revision, value } => {
+                self.take_record(&service, revision, value);
+            }
         }
     }
 
@@ -648,10 +741,12 @@
                 return;
             }
             let new = || Follower {
+                address: sender,
                 heard: now,
                 reports: 0,
             };
             let follower = control.followers.entry(name.to_owned()).or_insert_with(new);
+            follower.address = sender;
             follower.heard = now;
             follower.reports += 1;
             follower.reports % BEACON_REPORTS == 1
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -42,7 +42,7 @@
     pub ready_path: String,
     /// Address of the metrics page.
     pub metrics: SocketAddr,
-    /// Address for datagrams between instances.
+    /// Address for messages between instances, TCP and UDP.
     pub gossip: SocketAddr,
     pub store: SocketAddr,
     pub traffic_threads: usize,
@@ -90,6 +90,7 @@
         address: settings.gossip,
         source,
     })?;
+    let links = listen("gossip port", settings.gossip)?;
     let run = control::draw_run(&settings.name);
     log.emit(&events::Started {
         zone: settings.zone.clone(),
@@ -126,7 +127,7 @@
         serve_pages(&control, Async::new(listener)?, &settings.ready_path);
     }
     let stop = stop(&context, &control, settings, site.reload);
-    control.run(stop);
+    control.run(Async::new(links)?, stop);
     Ok(())
 }
 
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -1,11 +1,14 @@
-//! Datagrams between instances: signs of life, request counts, leadership.
+//! Messages between instances: signs of life, request counts, leadership, owners.
 //!
-//! Any of them may be lost; all are repeated.
+//! Signs of life and counts travel as datagrams, any of which may be lost; all
+//! are repeated. Ownership records travel as frames, since they outgrow a
+//! datagram; one that is lost arrives through the store.
 
 use crate::ids;
 use crate::ownership::load;
 use prost::Message;
 use thiserror::Error;
+use tokio_util::bytes::Bytes;
 
 /// Longest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -39,6 +42,12 @@
         /// Instances that report to it, itself included.
         instances: u32,
     },
+    /// Ownership record that the store has accepted.
+    Record {
+        /// Revision of the record.
+        revision: u64,
+        value: Bytes,
+    },
 }
 
 /// A datagram that is no message.
@@ -58,7 +67,7 @@
     run: u64,
     #[prost(string, tag = "3")]
     name: String,
-    #[prost(oneof = "WireContent", tags = "4, 5")]
+    #[prost(oneof = "WireContent", tags = "4, 5, 6")]
     content: Option<WireContent>,
 }
 
@@ -68,6 +77,8 @@
     Report(WireReport),
     #[prost(message, tag = "5")]
     Beacon(WireBeacon),
+    #[prost(message, tag = "6")]
+    Record(WireRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -88,6 +99,14 @@
     instances: u32,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireRecord {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    value: Bytes,
+}
+
 impl From<&GossipMessage> for WireMessage {
     fn from(message: &GossipMessage) -> WireMessage {
         let content = match &message.content {
@@ -103,6 +122,10 @@
                 revision: *revision,
                 instances: *instances,
             }),
+            GossipContent::Record { revision, value } => WireContent::Record(WireRecord {
+                revision: *revision,
+                value: value.clone(),
+            }),
         };
         WireMessage {
             service: message.service.clone(),
@@ -131,6 +154,10 @@
                 revision: beacon.revision,
                 instances: beacon.instances,
             },
+            WireContent::Record(record) => GossipContent::Record {
+                revision: record.revision,
+                value: record.value,
+            },
         };
         Ok(GossipMessage {
             service: wire.service,
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -15,6 +15,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio_util::bytes::Bytes;
 
 /// Start of the keys that instances write.
 const OWN_PREFIX: &str = "godwitloom/";
@@ -143,6 +144,21 @@
         effect
     }
 
+    /// Takes a service's ownership record over that its leader announced.
+    pub fn put_record(&mut self, service: &str, revision: u64, value: Bytes) -> MirrorEffect {
+        let key = record_key(service);
+        let known = self.revisions.get(&key).copied().unwrap_or(0);
+        if revision <= known {
+            return MirrorEffect::default();
+        }
+        self.revisions.insert(key.clone(), revision);
+        self.put_own(store::StoredItem {
+            key,
+            value,
+            revision,
+        })
+    }
+
     /// Removes upstreams whose time to register again is over.
     pub fn expire(&mut self, now: Duration) -> MirrorEffect {
         let changes = self.directory.expire(now);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -334,7 +334,12 @@
         let service = service.ok_or(answer::RefusalReason::NoUpstream)?;
         let now = self.context.clock.now();
         let Some(key) = routed.key else {
-            let choice = choice::choose(&self.pools, service, view.instances, tried, now);
+            let input = choice::ChoiceInput {
+                tried,
+                body_bytes: routed.request.body.len(),
+                boot_now: now,
+            };
+            let choice = choice::choose(&self.pools, service, view.instances, &input);
             return match choice {
                 choice::Choice::Found(permit) => Ok(Ok(permit)),
                 choice::Choice::Full => Ok(Err(WaitReason::Full(freed))),
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -15,7 +15,13 @@
 const MIN_SHARE: usize = 2;
 
 /// Factor on the cost of an upstream in another availability zone.
-const FAR_FACTOR: f64 = 1.25;
+const FAR_FACTOR: f64 = 1.3;
+
+/// Body size that raises [`FAR_FACTOR`] by 1, in bytes.
+const FAR_BODY_BYTES: f64 = 20_000.0;
+
+/// Greatest factor on the cost of an upstream in another availability zone.
+const MAX_FAR_FACTOR: f64 = 4.0;
 
 /// Factor on the cost of an upstream that warms up.
 const WARMING_FACTOR: f64 = 2.0;
@@ -26,6 +32,16 @@
 /// Upstreams that were tried for one request.
 pub type TriedList = SmallVec<[ids::UpstreamKey; 4]>;
 
+/// What a choice depends on besides the upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceInput<'a> {
+    pub tried: &'a TriedList,
+    /// Length of the request's body, in bytes.
+    pub body_bytes: usize,
+    /// Time on the boot clock.
+    pub boot_now: Duration,
+}
+
 /// Result of a choice.
 #[derive(Debug)]
 pub enum Choice {
@@ -47,14 +63,12 @@
     pools: &pools::PoolSet,
     service: &view::ServiceView,
     instances: usize,
-    tried: &TriedList,
-    boot_now: Duration,
+    request: &ChoiceInput<'_>,
 ) -> Choice {
     let now = Instant::now();
-    let usable = service
-        .upstreams
-        .iter()
-        .filter(|upstream| upstream.draining_since.is_none() && !tried.contains(&upstream.key));
+    let usable = service.upstreams.iter().filter(|upstream| {
+        upstream.draining_since.is_none() && !request.tried.contains(&upstream.key)
+    });
     let all: SmallVec<[Rc<pools::UpstreamPool>; 16]> =
         usable.map(|upstream| pools.get(upstream)).collect();
     if all.is_empty() {
@@ -69,7 +83,7 @@
         if full || (reachable && pool.is_avoided(now)) {
             continue;
         }
-        let cost = cost(pool, &view, typical, now, boot_now);
+        let cost = cost(pool, &view, typical, now, request);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, pool));
         }
@@ -93,12 +107,17 @@
     view: &view::UpstreamView,
     typical: f64,
     now: Instant,
-    boot_now: Duration,
+    request: &ChoiceInput<'_>,
 ) -> f64 {
     let (latency, weight) = pool.latency(now);
     let latency = typical + (latency - typical) * weight;
-    let far = if view.is_near { 1.0 } else { FAR_FACTOR };
-    let warming = if boot_now < view.warm_at {
+    let far = FAR_FACTOR + request.body_bytes as f64 / FAR_BODY_BYTES;
+    let far = if view.is_near {
+        1.0
+    } else {
+        far.min(MAX_FAR_FACTOR)
+    };
+    let warming = if request.boot_now < view.warm_at {
         WARMING_FACTOR
     } else {
         1.0
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -176,6 +176,11 @@
     Release(ReleaseCommand),
     /// Asks a predecessor whether it still acts.
     Challenge(record::NodeInfo),
+    /// Tells the other instances what the store has accepted.
+    Announce {
+        record: Box<record::OwnershipRecord>,
+        revision: u64,
+    },
     Event(OwnershipNote),
 }
 
@@ -242,6 +247,8 @@
     attempts: u64,
     stopping: bool,
     notes: Vec<OwnershipNote>,
+    /// Whether the last accepted record was not announced yet.
+    unannounced: bool,
 }
 
 impl OwnershipCore {
@@ -268,6 +275,7 @@
             attempts: 0,
             stopping: false,
             notes: Vec::new(),
+            unannounced: false,
         }
     }
 
@@ -348,6 +356,14 @@
             OwnershipEvent::Tick => {}
         }
         self.advance(now, &mut actions);
+        if std::mem::take(&mut self.unannounced)
+            && let Some((record, revision)) = &self.view.record
+        {
+            actions.push(OwnershipAction::Announce {
+                record: Box::new(record.clone()),
+                revision: *revision,
+            });
+        }
         actions.extend(self.notes.drain(..).map(OwnershipAction::Event));
         actions
     }
@@ -582,6 +598,7 @@
         self.set_hold(Duration::from_millis(pending.record.hold_ms));
         self.view.as_of = self.view.as_of.max(revision);
         self.view.record = Some((pending.record, revision));
+        self.unannounced = true;
     }
 
     fn find(&mut self, range: range::KeyRange) -> Option<&mut holding::LiveHolding> {
--- a/src/ownership/leveling.rs
+++ b/src/ownership/leveling.rs
@@ -17,7 +17,7 @@
 const REST: Duration = Duration::from_millis(1500);
 
 /// Most moves of one round.
-const MAX_MOVES: usize = 6;
+const MAX_MOVES: usize = 12;
 
 /// Load over the mean at which an owner gives keys away.
 const OVERLOAD: f32 = 1.35;
@@ -126,6 +126,13 @@
     moves
 }
 
+/// Part of an owner's ranges while moves are chosen.
+#[derive(Clone, Copy, Debug)]
+struct MovablePart {
+    range: range::KeyRange,
+    owner: ids::UpstreamKey,
+}
+
 /// Chooses moves that take load off overloaded owners.
 pub fn level(
     now: Duration,
@@ -134,29 +141,60 @@
     load: &load::LoadMap,
 ) -> Vec<RangeMove> {
     let mut moves: Vec<RangeMove> = Vec::new();
-    let total = load.total();
-    if total < MIN_TOTAL {
+    if load.total() < MIN_TOTAL {
         return moves;
     }
-    for _ in 0..MAX_MOVES {
-        let Some(found) = next_move(now, holdings, ledger, load, &moves) else {
+    let movable = holdings.iter().filter(|holding| {
+        holding.is_settled() && !holding.is_busy() && now >= holding.since + REST
+    });
+    let mut parts: Vec<MovablePart> = movable
+        .map(|holding| MovablePart {
+            range: holding.range,
+            owner: holding.owner,
+        })
+        .collect();
+    while moves.len() < MAX_MOVES {
+        let Some((from, chosen)) = next_move(&parts, ledger, load) else {
             break;
         };
-        let (from, range_move) = found;
-        let amount = load.load(&range_move.range);
+        let amount = load.load(&chosen.range);
         ledger.add(from, -amount);
-        ledger.add(range_move.to, amount);
-        moves.push(range_move);
+        ledger.add(chosen.to, amount);
+        cut_out(&mut parts, &chosen.range);
+        moves.push(chosen);
     }
     moves
 }
 
+/// Removes a chosen range from the parts that may still be moved.
+fn cut_out(parts: &mut Vec<MovablePart>, chosen: &range::KeyRange) {
+    let found = parts.iter().position(|part| part.range.overlaps(chosen));
+    let Some(index) = found else { return };
+    let part = parts.swap_remove(index);
+    if part.range.first < chosen.first {
+        parts.push(MovablePart {
+            range: range::KeyRange {
+                first: part.range.first,
+                last: chosen.first - 1,
+            },
+            ..part
+        });
+    }
+    if chosen.last < part.range.last {
+        parts.push(MovablePart {
+            range: range::KeyRange {
+                first: chosen.last + 1,
+                last: part.range.last,
+            },
+            ..part
+        });
+    }
+}
+
 fn next_move(
-    now: Duration,
-    holdings: &[holding::LiveHolding],
+    parts: &[MovablePart],
     ledger: &LoadLedger,
     load: &load::LoadMap,
-    chosen: &[RangeMove],
 ) -> Option<(ids::UpstreamKey, RangeMove)> {
     let mean = ledger.mean();
     let to = ledger.least()?;
@@ -165,24 +203,18 @@
     let least_part = load.total() * MIN_PART;
     for from in ledger.by_load() {
         let (sum, capacity) = ledger.entries[&from];
-        let excess = sum - mean * capacity;
         if sum <= mean * capacity * OVERLOAD || from == to {
             return None;
         }
-        let amount = excess.min(room);
+        let amount = (sum - mean * capacity).min(room);
         if amount < least_part {
             continue;
         }
-        let movable = holdings.iter().filter(|holding| {
-            let chosen = chosen.iter().any(|m| m.range.overlaps(&holding.range));
-            holding.owner == from
-                && holding.is_settled()
-                && !holding.is_busy()
-                && now >= holding.since + REST
-                && !chosen
-        });
-        let part = movable
-            .filter_map(|holding| load.find_part(&holding.range, amount * 0.6, amount * 1.25))
+        let (least, most) = (amount * 0.6, amount * 1.25);
+        let part = parts
+            .iter()
+            .filter(|part| part.owner == from)
+            .filter_map(|part| load.find_part(&part.range, least, most))
             .min_by_key(|part| part.last - part.first);
         if let Some(range) = part {
             return Some((from, RangeMove { range, to }));
--- a/src/ownership/record.rs
+++ b/src/ownership/record.rs
@@ -2,14 +2,14 @@
 
 use crate::ids;
 use crate::range;
-use serde::{Deserialize, Serialize};
+use prost::Message;
 use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
 
 /// One run of an instance, as others reach it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct NodeInfo {
     /// Differs for each run.
     pub run: ids::InstanceKey,
@@ -20,7 +20,7 @@
 }
 
 /// One life of an upstream that owns or owned keys.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnerInfo {
     pub key: ids::UpstreamKey,
     pub id: Arc<str>,
@@ -29,7 +29,7 @@
 }
 
 /// Upstream that may still hold a range.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FormerOwner {
     pub key: ids::UpstreamKey,
     /// Fence number under which it held the range.
@@ -40,7 +40,7 @@
 pub type FormerList = SmallVec<[FormerOwner; 2]>;
 
 /// Owner of one range.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Holding {
     pub range: range::KeyRange,
     pub owner: ids::UpstreamKey,
@@ -49,12 +49,11 @@
     /// Whether the owner has acknowledged the grant.
     pub granted: bool,
     /// Upstreams that must let go of the range before it is granted.
-    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
     pub formers: FormerList,
 }
 
 /// Who owns what in one service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OwnershipRecord {
     /// Identity of the write, to recognise it after a lost answer.
     pub attempt: u64,
@@ -75,28 +74,203 @@
 #[derive(Debug, Error)]
 pub enum RecordError {
     #[error("ownership record cannot be read: {0}; delete its key so that it is made anew")]
-    Syntax(#[from] serde_json::Error),
+    Syntax(#[from] prost::DecodeError),
+    #[error("ownership record's {0} is missing; delete its key so that it is made anew")]
+    Missing(&'static str),
+    #[error(
+        "ownership record's address \"{0}\" is invalid; delete its key so that it is made anew"
+    )]
+    Address(String),
     #[error("ownership record's ranges leave gaps; delete its key so that it is made anew")]
     Gaps,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireNode {
+    #[prost(fixed64, tag = "1")]
+    run: u64,
+    #[prost(string, tag = "2")]
+    name: String,
+    #[prost(string, tag = "3")]
+    address: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireOwner {
+    #[prost(fixed64, tag = "1")]
+    key: u64,
+    #[prost(string, tag = "2")]
+    id: String,
+    #[prost(uint64, tag = "3")]
+    born_ms: u64,
+    #[prost(string, tag = "4")]
+    address: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireFormer {
+    /// Position among the owners.
+    #[prost(uint32, tag = "1")]
+    owner: u32,
+    #[prost(uint64, tag = "2")]
+    fence: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireHolding {
+    #[prost(uint64, tag = "1")]
+    last: u64,
+    /// Position among the owners.
+    #[prost(uint32, tag = "2")]
+    owner: u32,
+    #[prost(uint64, tag = "3")]
+    fence: u64,
+    #[prost(bool, tag = "4")]
+    granted: bool,
+    #[prost(message, repeated, tag = "5")]
+    formers: Vec<WireFormer>,
+}
+
+/// Stored form of a record; ranges follow each other without gaps.
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireRecord {
+    #[prost(fixed64, tag = "1")]
+    attempt: u64,
+    #[prost(message, optional, tag = "2")]
+    leader: Option<WireNode>,
+    #[prost(bool, tag = "3")]
+    resigned: bool,
+    #[prost(uint64, tag = "4")]
+    hold_ms: u64,
+    #[prost(uint64, tag = "5")]
+    next_fence: u64,
+    #[prost(message, repeated, tag = "6")]
+    owners: Vec<WireOwner>,
+    #[prost(message, repeated, tag = "7")]
+    holdings: Vec<WireHolding>,
+}
+
+impl From<&OwnershipRecord> for WireRecord {
+    fn from(record: &OwnershipRecord) -> WireRecord {
+        let index = |key: ids::UpstreamKey| {
+            let found = record.owners.iter().position(|owner| owner.key == key);
+            // An owner that is not listed becomes an index that no reader accepts.
+            found.map_or(u32::MAX, |index| index as u32)
+        };
+        let holdings = record.holdings.iter().map(|holding| WireHolding {
+            last: holding.range.last,
+            owner: index(holding.owner),
+            fence: holding.fence,
+            granted: holding.granted,
+            formers: holding
+                .formers
+                .iter()
+                .map(|former| WireFormer {
+                    owner: index(former.key),
+                    fence: former.fence,
+                })
+                .collect(),
+        });
+        let owners = record.owners.iter().map(|owner| WireOwner {
+            key: owner.key.0,
+            id: owner.id.to_string(),
+            born_ms: owner.born_ms,
+            address: owner.address.to_string(),
+        });
+        WireRecord {
+            attempt: record.attempt,
+            leader: Some(WireNode {
+                run: record.leader.run.0,
+                name: record.leader.name.clone(),
+                address: record.leader.address.to_string(),
+            }),
+            resigned: record.resigned,
+            hold_ms: record.hold_ms,
+            next_fence: record.next_fence,
+            owners: owners.collect(),
+            holdings: holdings.collect(),
+        }
+    }
+}
+
+fn parse_address(text: String) -> Result<SocketAddr, RecordError> {
+    text.parse().map_err(|_| RecordError::Address(text))
+}
+
+impl TryFrom<WireOwner> for OwnerInfo {
+    type Error = RecordError;
+
+    fn try_from(wire: WireOwner) -> Result<OwnerInfo, RecordError> {
+        Ok(OwnerInfo {
+            key: ids::UpstreamKey(wire.key),
+            id: Arc::from(wire.id),
+            born_ms: wire.born_ms,
+            address: parse_address(wire.address)?,
+        })
+    }
+}
+
+impl TryFrom<WireRecord> for OwnershipRecord {
+    type Error = RecordError;
+
+    fn try_from(wire: WireRecord) -> Result<OwnershipRecord, RecordError> {
+        let leader = wire.leader.ok_or(RecordError::Missing("leader"))?;
+        let owners = wire.owners.into_iter().map(OwnerInfo::try_from);
+        let owners = owners.collect::<Result<Vec<_>, _>>()?;
+        let key = |index: u32| {
+            let owner = owners.get(index as usize);
+            owner
+                .map(|owner| owner.key)
+                .ok_or(RecordError::Missing("owner"))
+        };
+        let mut holdings = Vec::with_capacity(wire.holdings.len());
+        let mut first = Some(0);
+        for holding in wire.holdings {
+            let start = first.filter(|start| *start <= holding.last);
+            let range = range::KeyRange {
+                first: start.ok_or(RecordError::Gaps)?,
+                last: holding.last,
+            };
+            first = holding.last.checked_add(1);
+            let formers = holding.formers.into_iter().map(|former| {
+                Ok(FormerOwner {
+                    key: key(former.owner)?,
+                    fence: former.fence,
+                })
+            });
+            holdings.push(Holding {
+                range,
+                owner: key(holding.owner)?,
+                fence: holding.fence,
+                granted: holding.granted,
+                formers: formers.collect::<Result<_, RecordError>>()?,
+            });
+        }
+        Ok(OwnershipRecord {
+            attempt: wire.attempt,
+            leader: NodeInfo {
+                run: ids::InstanceKey(leader.run),
+                name: leader.name,
+                address: parse_address(leader.address)?,
+            },
+            resigned: wire.resigned,
+            hold_ms: wire.hold_ms,
+            next_fence: wire.next_fence,
+            owners,
+            holdings,
+        })
+    }
+}
+
 impl OwnershipRecord {
     /// Encodes the record.
     pub fn encode(&self) -> Vec<u8> {
-        serde_json::to_vec(self).expect("records always encode")
+        WireRecord::from(self).encode_to_vec()
     }
 
     /// Decodes a stored record.
     pub fn decode(value: &[u8]) -> Result<OwnershipRecord, RecordError> {
-        let record: OwnershipRecord = serde_json::from_slice(value)?;
-        let mut next = Some(0);
-        for holding in &record.holdings {
-            if next != Some(holding.range.first) || holding.range.last < holding.range.first {
-                return Err(RecordError::Gaps);
-            }
-            next = holding.range.last.checked_add(1);
-        }
-        Ok(record)
+        WireRecord::decode(value)?.try_into()
     }
 
     /// Returns the holding that covers a key.
--- a/src/store.rs
+++ b/src/store.rs
@@ -112,8 +112,8 @@
     /// Reads all items.
     fn list(&self) -> PortFuture<'_, Result<StoreListing, StoreError>>;
 
-    /// Waits for changes after a revision, for a time that the client limits.
-    fn watch(&self, after: u64) -> PortFuture<'_, Result<ChangeBatch, StoreError>>;
+    /// Waits at most `wait` for changes after a revision.
+    fn watch(&self, after: u64, wait: Duration) -> PortFuture<'_, Result<ChangeBatch, StoreError>>;
 
     /// Writes under a condition.
     fn commit<'a>(
