Fence earlier leaders off instead of waiting for them; follow the owners' latency

Change: a new leader raises the fence number of every range; an owner that has acknowledged it refuses earlier leaders, so its ranges may move at once. Leaders not yet proven to have stopped stand in the record. Neighbouring ranges are joined. Leveling weighs owners by latency.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -76,7 +76,7 @@
     core: core::OwnershipCore,
     followers: HashMap<String, Follower>,
     /// Requests since the last report.
-    counts: HashMap<u32, u32>,
+    tally: context::LoadTally,
 }
 
 /// State of the control thread.
@@ -378,6 +378,7 @@
             &service,
             core::OwnershipEvent::Granted {
                 range: command.range,
+                owner: command.owner.key,
                 fence: command.fence,
                 sent: command.sent,
                 result,
@@ -530,7 +531,7 @@
                     },
                 ),
                 followers: HashMap::new(),
-                counts: HashMap::new(),
+                tally: context::LoadTally::default(),
             };
             self.services
                 .borrow_mut()
@@ -580,11 +581,9 @@
     async fn report(this: Rc<Self>) {
         loop {
             Timer::after(REPORT_INTERVAL).await;
-            for (service, counts) in this.context.take_counts() {
+            for (service, tally) in this.context.take_tallies() {
                 if let Some(control) = this.services.borrow_mut().get_mut(&*service) {
-                    for (bucket, count) in counts {
-                        *control.counts.entry(bucket).or_default() += count;
-                    }
+                    control.tally.merge(tally);
                 }
             }
             for name in this.names() {
@@ -594,20 +593,16 @@
     }
 
     fn report_service(self: &Rc<Self>, service: &str) {
-        let (counts, acting) = {
+        let (load, acting) = {
             let mut services = self.services.borrow_mut();
             let Some(control) = services.get_mut(service) else {
                 return;
             };
-            let counts = std::mem::take(&mut control.counts);
-            let counts: Vec<load::BucketCount> = counts
-                .into_iter()
-                .map(|(bucket, count)| load::BucketCount { bucket, count })
-                .collect();
-            (counts, control.core.is_leading())
+            let tally = std::mem::take(&mut control.tally);
+            (load::LoadReport::from(tally), control.core.is_leading())
         };
         if acting {
-            self.handle(service, core::OwnershipEvent::Load(counts));
+            self.handle(service, core::OwnershipEvent::Load(load));
             self.count_instances(service);
             return;
         }
@@ -619,7 +614,7 @@
             record.map(|record| record.leader.address)
         };
         if let Some(address) = leader {
-            self.send_report(service, address, acting, counts);
+            self.send_report(service, address, acting, &load);
         }
     }
 
@@ -628,13 +623,10 @@
         service: &str,
         address: SocketAddr,
         acting: bool,
-        counts: Vec<load::BucketCount>,
+        report: &load::LoadReport,
     ) {
-        let mut parts = counts.chunks(gossip::MAX_COUNTS);
-        let first = parts.next().unwrap_or_default();
-        for part in std::iter::once(first).chain(parts) {
-            let counts = part.to_vec();
-            let content = gossip::GossipContent::Report { acting, counts };
+        for load in report.split(gossip::MAX_COUNTS) {
+            let content = gossip::GossipContent::Report { acting, load };
             self.send_gossip(service, address, content);
         }
     }
@@ -701,12 +693,12 @@
     fn on_gossip(self: &Rc<Self>, message: gossip::GossipMessage, sender: SocketAddr) {
         let service = message.service;
         match message.content {
-            gossip::GossipContent::Report { acting, counts } => {
+            gossip::GossipContent::Report { acting, load } => {
                 self.note_follower(&service, &message.name, sender);
                 let (name, run) = (message.name, message.run);
                 self.handle(&service, core::OwnershipEvent::Sign { name, run, acting });
-                if !counts.is_empty() {
-                    self.handle(&service, core::OwnershipEvent::Load(counts));
+                if load != load::LoadReport::default() {
+                    self.handle(&service, core::OwnershipEvent::Load(load));
                 }
             }
             gossip::GossipContent::Beacon {
@@ -721,7 +713,7 @@
                 };
                 if !acting {
                     self.set_instances(instances as usize);
-                    self.send_report(&service, sender, acting, Vec::new());
+                    self.send_report(&service, sender, acting, &load::LoadReport::default());
                 }
             }
             gossip::GossipContent::Record { revision, value } => {
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -33,7 +33,7 @@
     Report {
         /// Whether the sender acts as the service's leader.
         acting: bool,
-        counts: Vec<load::BucketCount>,
+        load: load::LoadReport,
     },
     /// Sign of life of the leader.
     Beacon {
@@ -89,6 +89,46 @@
     buckets: Vec<u32>,
     #[prost(uint32, repeated, tag = "3")]
     counts: Vec<u32>,
+    #[prost(fixed64, repeated, tag = "4")]
+    owners: Vec<u64>,
+    #[prost(uint32, repeated, tag = "5")]
+    answers: Vec<u32>,
+    #[prost(uint32, repeated, tag = "6")]
+    sums_ms: Vec<u32>,
+}
+
+impl From<&load::LoadReport> for WireReport {
+    fn from(report: &load::LoadReport) -> WireReport {
+        let (counts, latencies) = (&report.counts, &report.latencies);
+        WireReport {
+            acting: false,
+            buckets: counts.iter().map(|count| count.bucket).collect(),
+            counts: counts.iter().map(|count| count.count).collect(),
+            owners: latencies.iter().map(|latency| latency.owner.0).collect(),
+            answers: latencies.iter().map(|latency| latency.answers).collect(),
+            sums_ms: latencies.iter().map(|latency| latency.sum_ms).collect(),
+        }
+    }
+}
+
+impl From<WireReport> for load::LoadReport {
+    fn from(wire: WireReport) -> load::LoadReport {
+        let counts = wire.buckets.into_iter().zip(wire.counts);
+        let answers = wire.answers.into_iter().zip(wire.sums_ms);
+        let latencies = wire.owners.into_iter().zip(answers);
+        load::LoadReport {
+            counts: counts
+                .map(|(bucket, count)| load::BucketCount { bucket, count })
+                .collect(),
+            latencies: latencies
+                .map(|(owner, (answers, sum_ms))| load::OwnerLatency {
+                    owner: ids::UpstreamKey(owner),
+                    answers,
+                    sum_ms,
+                })
+                .collect(),
+        }
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -110,10 +150,9 @@
 impl From<&GossipMessage> for WireMessage {
     fn from(message: &GossipMessage) -> WireMessage {
         let content = match &message.content {
-            GossipContent::Report { acting, counts } => WireContent::Report(WireReport {
+            GossipContent::Report { acting, load } => WireContent::Report(WireReport {
                 acting: *acting,
-                buckets: counts.iter().map(|count| count.bucket).collect(),
-                counts: counts.iter().map(|count| count.count).collect(),
+                ..WireReport::from(load)
             }),
             GossipContent::Beacon {
                 revision,
@@ -141,15 +180,10 @@
 
     fn try_from(wire: WireMessage) -> Result<GossipMessage, GossipError> {
         let content = match wire.content.ok_or(GossipError::Empty)? {
-            WireContent::Report(report) => {
-                let pairs = report.buckets.into_iter().zip(report.counts);
-                GossipContent::Report {
-                    acting: report.acting,
-                    counts: pairs
-                        .map(|(bucket, count)| load::BucketCount { bucket, count })
-                        .collect(),
-                }
-            }
+            WireContent::Report(report) => GossipContent::Report {
+                acting: report.acting,
+                load: report.into(),
+            },
             WireContent::Beacon(beacon) => GossipContent::Beacon {
                 revision: beacon.revision,
                 instances: beacon.instances,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -6,7 +6,6 @@
 use crate::routing;
 use crate::timer;
 use event_listener::EventListener;
-use futures_lite::future;
 use serde::Serialize;
 use smallvec::SmallVec;
 use std::rc::Rc;
@@ -22,8 +21,8 @@
 /// Part of the latency objective for which a request waits for an owner or room.
 const WAIT_SHARE: f64 = 0.5;
 
-/// Pause before a request is sent again to an owner that did not hold the key yet.
-const SETTLE_PAUSE: Duration = Duration::from_millis(25);
+/// Longest pause before a request for a key is sent again; ends when the owners change.
+const SETTLE_PAUSE: Duration = Duration::from_millis(80);
 
 /// Refusals by upstreams after which a request is given up.
 const MAX_REFUSALS: usize = 4;
@@ -210,7 +209,12 @@
         let mut runs = 0;
         let mut may_have_run = false;
         let mut last_failure = None;
+        let mut changed: Option<EventListener> = None;
         loop {
+            if let Some(changed) = changed.take() {
+                timer::within(SETTLE_PAUSE, changed).await;
+            }
+            let before = self.context.changed.listen();
             let permit = match self.reserve(routed, &tried).await {
                 Ok(permit) => permit,
                 Err(reason) => return last_answer(may_have_run, last_failure, reason),
@@ -239,6 +243,10 @@
             let error = match result {
                 Ok(answer) => {
                     pool.note(elapsed, answer.head.status >= 500);
+                    if routed.key.is_some() {
+                        let context = &self.context;
+                        context.note_owner(&routed.service, upstream.key, elapsed);
+                    }
                     let failed = answer.head.status >= 500;
                     let idempotent = routed.rule.kind.is_idempotent();
                     runs += 1;
@@ -273,7 +281,7 @@
             if routed.key.is_none() {
                 tried.push(upstream.key);
             } else {
-                self.await_change(SETTLE_PAUSE).await;
+                changed = Some(before);
             }
         }
     }
@@ -359,12 +367,6 @@
         }
         Ok(Ok(self.pools.enter(&pool)))
     }
-
-    async fn await_change(&self, pause: Duration) {
-        let changed = self.context.changed.listen();
-        timer::within(pause, changed).await;
-        future::yield_now().await;
-    }
 }
 
 /// Chooses one of a route's services by weight.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::event_log;
 use crate::gateway::{dialect, view};
+use crate::ids;
 use crate::metrics;
 use crate::ownership::load;
 use crate::routing;
@@ -40,7 +41,47 @@
     /// Notified when connections without a request are to be closed.
     pub closing: Event,
     budgets: Mutex<HashMap<Arc<str>, Arc<budget::RetryBudget>>>,
-    counts: Mutex<HashMap<Arc<str>, HashMap<u32, u32>>>,
+    tallies: Mutex<HashMap<Arc<str>, LoadTally>>,
+}
+
+/// Requests for keys and answers of owners since the last report.
+#[derive(Debug, Default)]
+pub struct LoadTally {
+    counts: HashMap<u32, u32>,
+    latencies: HashMap<ids::UpstreamKey, (u32, u32)>,
+}
+
+impl LoadTally {
+    /// Adds what another tally holds.
+    pub fn merge(&mut self, other: LoadTally) {
+        for (bucket, count) in other.counts {
+            *self.counts.entry(bucket).or_default() += count;
+        }
+        for (owner, (answers, sum_ms)) in other.latencies {
+            let entry = self.latencies.entry(owner).or_default();
+            entry.0 += answers;
+            entry.1 += sum_ms;
+        }
+    }
+}
+
+impl From<LoadTally> for load::LoadReport {
+    fn from(tally: LoadTally) -> load::LoadReport {
+        let counts = tally.counts.into_iter();
+        let latencies = tally.latencies.into_iter();
+        load::LoadReport {
+            counts: counts
+                .map(|(bucket, count)| load::BucketCount { bucket, count })
+                .collect(),
+            latencies: latencies
+                .map(|(owner, (answers, sum_ms))| load::OwnerLatency {
+                    owner,
+                    answers,
+                    sum_ms,
+                })
+                .collect(),
+        }
+    }
 }
 
 impl GatewayContext {
@@ -64,7 +105,7 @@
             stop_since: OnceLock::new(),
             closing: Event::new(),
             budgets: Mutex::default(),
-            counts: Mutex::default(),
+            tallies: Mutex::default(),
         }
     }
 
@@ -107,14 +148,23 @@
             return;
         };
         let bucket = load::bucket_of(key, space.last) as u32;
-        let mut counts = self.counts.lock().expect("no panic while locked");
-        let service = counts.entry(service.name.clone()).or_default();
-        *service.entry(bucket).or_default() += 1;
+        let mut tallies = self.tallies.lock().expect("no panic while locked");
+        let tally = tallies.entry(service.name.clone()).or_default();
+        *tally.counts.entry(bucket).or_default() += 1;
+    }
+
+    /// Notes the latency of an owner's answer.
+    pub fn note_owner(&self, service: &Arc<str>, owner: ids::UpstreamKey, latency: Duration) {
+        let mut tallies = self.tallies.lock().expect("no panic while locked");
+        let tally = tallies.entry(service.clone()).or_default();
+        let entry = tally.latencies.entry(owner).or_default();
+        entry.0 += 1;
+        entry.1 += latency.as_millis() as u32;
     }
 
-    /// Takes the counts of requests since the last call.
-    pub fn take_counts(&self) -> HashMap<Arc<str>, HashMap<u32, u32>> {
-        std::mem::take(&mut *self.counts.lock().expect("no panic while locked"))
+    /// Takes the tallies since the last call.
+    pub fn take_tallies(&self) -> HashMap<Arc<str>, LoadTally> {
+        std::mem::take(&mut *self.tallies.lock().expect("no panic while locked"))
     }
 
     /// Counts a request in flight until the guard is dropped.
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -24,6 +24,9 @@
 /// Pause before a write without an answer is sent again.
 const COMMIT_RETRY: Duration = Duration::from_millis(200);
 
+/// Time after a move before a range is joined with its neighbour.
+const MERGE_REST: Duration = Duration::from_secs(3);
+
 /// Time for which an upstream that could not be reached gets no keys.
 const SUSPECT_TIME: Duration = Duration::from_secs(4);
 
@@ -91,7 +94,7 @@
 pub enum OwnershipEvent {
     Seen(StoreView),
     Candidates(owners::CandidateTable),
-    Load(Vec<load::BucketCount>),
+    Load(load::LoadReport),
     LeaseOpened {
         sent: Duration,
         lease: Option<u64>,
@@ -104,6 +107,7 @@
     Committed(CommitResult),
     Granted {
         range: range::KeyRange,
+        owner: ids::UpstreamKey,
         fence: u64,
         sent: Duration,
         result: GrantResult,
@@ -189,7 +193,7 @@
 pub enum OwnershipNote {
     Leading {
         revision: u64,
-        predecessor: Option<String>,
+        predecessors: Vec<String>,
     },
     PredecessorEnded {
         name: String,
@@ -241,6 +245,7 @@
     /// Whether the stored record lags behind acknowledged grants.
     dirty: bool,
     load: load::LoadMap,
+    latency: load::LatencyTable,
     leveled_at: Duration,
     challenged_at: Duration,
     claim_at: Option<Duration>,
@@ -269,6 +274,7 @@
             suspects: BTreeMap::new(),
             dirty: false,
             load: load::LoadMap::new(settings.last_key),
+            latency: load::LatencyTable::default(),
             leveled_at: Duration::ZERO,
             challenged_at: Duration::ZERO,
             claim_at: None,
@@ -326,10 +332,14 @@
         match event {
             OwnershipEvent::Seen(view) => self.on_seen(now, view),
             OwnershipEvent::Candidates(candidates) => {
+                self.latency.retain(|key| candidates.get(key).is_some());
                 self.candidates = candidates;
                 self.candidates_at = now;
             }
-            OwnershipEvent::Load(counts) => self.load.add(&counts),
+            OwnershipEvent::Load(report) => {
+                self.load.add(&report.counts);
+                self.latency.add(&report.latencies);
+            }
             OwnershipEvent::LeaseOpened { sent, lease } => {
                 self.on_lease_opened(now, sent, lease, &mut actions);
             }
@@ -337,10 +347,11 @@
             OwnershipEvent::Committed(result) => self.on_committed(now, result),
             OwnershipEvent::Granted {
                 range,
+                owner,
                 fence,
                 sent,
                 result,
-            } => self.on_granted(now, range, fence, sent, result),
+            } => self.on_granted(now, range, owner, fence, sent, result),
             OwnershipEvent::Released {
                 range,
                 former,
@@ -417,15 +428,20 @@
                 attempt,
                 leader: self.me.clone(),
                 resigned: true,
+                predecessors: Vec::new(),
                 hold_ms: self.hold.as_millis() as u64,
                 next_fence: 1,
                 owners: Vec::new(),
                 holdings: Vec::new(),
             },
         };
+        if !record.resigned && record.leader.run != self.me.run {
+            record.predecessors.push(record.leader.clone());
+        }
         record.attempt = attempt;
         record.leader = self.me.clone();
         record.resigned = false;
+        raise_fences(&mut record);
         actions.push(OwnershipAction::Commit(Box::new(CommitOrder {
             leader_revision: 0,
             record_revision: self.record_revision(),
@@ -498,18 +514,18 @@
                 return;
             }
         };
-        let former = self.view.record.as_ref().map(|(former, _)| former);
-        let predecessor =
-            former
-                .filter(|former| !former.resigned)
-                .map(|former| term::PredecessorState {
-                    node: former.leader.clone(),
-                    ends: now + term::predecessor_wait(),
-                });
-        let mine = |state: &term::PredecessorState| state.node.run == self.me.run;
-        let predecessor_is_me = predecessor.as_ref().is_some_and(mine);
-        let clean = predecessor.is_none();
-        let predecessor = predecessor.filter(|_| !predecessor_is_me);
+        let clean = match &self.view.record {
+            Some((former, _)) => former.resigned,
+            None => true,
+        };
+        let states = record.predecessors.iter();
+        let predecessors: Vec<_> = states
+            .map(|node| term::PredecessorState {
+                node: node.clone(),
+                ends: now + term::predecessor_wait(),
+            })
+            .collect();
+        let first_fence = record.next_fence - record.holdings.len() as u64;
         self.holdings = record
             .holdings
             .iter()
@@ -522,14 +538,15 @@
         self.view.leader = Some((self.me.run, revision));
         self.view.as_of = self.view.as_of.max(revision);
         let bound = holding::hold_bound(self.longest_hold);
-        let floor = match (&predecessor, clean) {
-            (Some(predecessor), _) => predecessor.ends + bound,
-            (None, true) => now,
-            (None, false) => now + bound,
+        let floor = match (predecessors.is_empty(), clean) {
+            (true, true) => now,
+            (true, false) => now + bound,
+            (false, _) => now + term::predecessor_wait() + bound,
         };
+        let names = predecessors.iter().map(|state| state.node.name.clone());
         self.notes.push(OwnershipNote::Leading {
             revision,
-            predecessor: predecessor.as_ref().map(|state| state.node.name.clone()),
+            predecessors: names.collect(),
         });
         self.state = term::TermState::Leading(Box::new(term::LeaderTerm {
             lease,
@@ -538,8 +555,9 @@
             keep_at: contact + term::KEEP_INTERVAL,
             keep_in_flight: false,
             commit: None,
-            predecessor,
+            predecessors,
             floor,
+            first_fence,
         }));
     }
 
@@ -609,6 +627,7 @@
         &mut self,
         now: Duration,
         range: range::KeyRange,
+        owner: ids::UpstreamKey,
         fence: u64,
         sent: Duration,
         result: GrantResult,
@@ -616,6 +635,9 @@
         let renew = self.renew_interval();
         let fresh_fence = self.next_fence;
         let Some(live) = self.find(range).filter(|live| live.fence == fence) else {
+            if result == GrantResult::Unanswered {
+                self.note_late_grant(range, owner, sent);
+            }
             return;
         };
         let mut note = None;
@@ -646,6 +668,26 @@
         }
     }
 
+    /// Notes that a grant for a range that was cut or joined since may arrive late.
+    fn note_late_grant(
+        &mut self,
+        range: range::KeyRange,
+        owner: ids::UpstreamKey,
+        sent: Duration,
+    ) {
+        let overlapping = self.holdings.iter_mut();
+        for live in overlapping.filter(|live| live.range.overlaps(&range)) {
+            if live.owner == owner {
+                live.unanswered = live.unanswered.max(Some(sent));
+                live.sent = live.sent.max(sent);
+            }
+            for former in live.formers.iter_mut().filter(|f| f.former.key == owner) {
+                former.unanswered = former.unanswered.max(Some(sent));
+                former.sent = former.sent.max(sent);
+            }
+        }
+    }
+
     fn on_released(
         &mut self,
         now: Duration,
@@ -673,13 +715,19 @@
         let term::TermState::Leading(term) = &mut self.state else {
             return;
         };
-        let ended = term.predecessor.as_ref();
-        if ended.is_some_and(|state| state.is_ended_by(name, run, acting)) {
-            term.predecessor = None;
+        let before = term.predecessors.len();
+        term.predecessors
+            .retain(|state| !state.is_ended_by(name, run, acting));
+        if term.predecessors.len() == before {
+            return;
+        }
+        if term.predecessors.is_empty() {
             term.floor = term.floor.min(now + bound);
-            let name = name.to_owned();
-            self.notes.push(OwnershipNote::PredecessorEnded { name });
         }
+        self.dirty = true;
+        self.notes.push(OwnershipNote::PredecessorEnded {
+            name: name.to_owned(),
+        });
     }
 
     fn advance(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
@@ -720,7 +768,7 @@
 
     fn advance_leading(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
         self.keep_lease(now, actions);
-        self.end_predecessor(now, actions);
+        self.end_predecessors(now, actions);
         self.clear_formers(now);
         if !self.is_resigning() && !self.stopping {
             self.push_grants(now, actions);
@@ -753,53 +801,57 @@
         }
     }
 
-    fn end_predecessor(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
+    fn end_predecessors(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
         let due = now >= self.challenged_at + CLAIM_RETRY;
         let Some(term) = self.term_mut() else { return };
-        let Some(predecessor) = &term.predecessor else {
-            return;
-        };
-        let node = predecessor.node.clone();
-        if now >= predecessor.ends {
-            term.predecessor = None;
-            let name = node.name;
-            self.notes.push(OwnershipNote::PredecessorEnded { name });
-        } else if due {
+        let (ended, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut term.predecessors)
+            .into_iter()
+            .partition(|state| now >= state.ends);
+        let nodes = waiting.iter().map(|state| state.node.clone());
+        let nodes: Vec<_> = nodes.collect();
+        term.predecessors = waiting;
+        if due && !nodes.is_empty() {
             self.challenged_at = now;
-            actions.push(OwnershipAction::Challenge(node));
+            actions.extend(nodes.into_iter().map(OwnershipAction::Challenge));
+        }
+        for state in ended {
+            self.dirty = true;
+            let name = state.node.name;
+            self.notes.push(OwnershipNote::PredecessorEnded { name });
         }
     }
 
-    /// Returns whether only this instance can be granting, and since when for certain.
+    /// Returns since when no earlier leader's grant can be held, if all have ended.
     fn sole_floor(&self) -> Option<Duration> {
         match &self.state {
-            term::TermState::Leading(term) if term.predecessor.is_none() => Some(term.floor),
+            term::TermState::Leading(term) if term.predecessors.is_empty() => Some(term.floor),
             _ => None,
         }
     }
 
+    fn first_fence(&self) -> u64 {
+        match &self.state {
+            term::TermState::Leading(term) => term.first_fence,
+            _ => u64::MAX,
+        }
+    }
+
     fn clear_formers(&mut self, now: Duration) {
-        let Some(floor) = self.sole_floor() else {
-            return;
-        };
+        let floor = self.sole_floor();
         let hold = self.longest_hold;
         for live in &mut self.holdings {
             for former in &mut live.formers {
-                let info = self
-                    .owners
-                    .iter()
-                    .find(|info| info.key == former.former.key);
-                let replaced = info.is_some_and(|info| self.candidates.is_replaced(info));
-                if former.state == holding::FormerState::Holding && replaced {
-                    former.state = holding::FormerState::Ended;
+                if former.state != holding::FormerState::Holding {
+                    continue;
                 }
-                if former.state == holding::FormerState::Holding
-                    && former.is_cleared(now, floor, hold)
-                {
+                let key = former.former.key;
+                let info = self.owners.iter().find(|info| info.key == key);
+                let replaced = info.is_some_and(|info| self.candidates.is_replaced(info));
+                if replaced || former.is_cleared(now, floor, hold) {
                     former.state = holding::FormerState::Ended;
                     self.notes.push(OwnershipNote::FormerCleared {
                         range: live.range,
-                        former: former.former.key,
+                        former: key,
                         proof: former.state,
                     });
                 }
@@ -820,9 +872,8 @@
             if live.in_flight || live.changing || now < live.grant_at {
                 continue;
             }
-            let cleared = |former: &holding::LiveFormer| {
-                floor.is_some_and(|floor| former.is_cleared(now, floor, longest))
-            };
+            let cleared =
+                |former: &holding::LiveFormer| former.is_cleared(now, floor, longest);
             let registered = self.candidates.get(live.owner).is_some();
             if !registered || !live.formers.iter().all(cleared) {
                 continue;
@@ -844,14 +895,12 @@
     }
 
     fn push_releases(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
-        if self.sole_floor().is_none() {
-            return;
-        }
+        let alone = self.sole_floor().is_some();
         for live in &mut self.holdings {
             let range = live.range;
             for former in &mut live.formers {
                 let holding = former.state == holding::FormerState::Holding;
-                if !holding || former.in_flight || now < former.release_at {
+                if !holding || !(alone || former.fenced) || former.in_flight || now < former.release_at {
                     continue;
                 }
                 let key = former.former.key;
@@ -904,8 +953,11 @@
             return (!busy).then(|| self.pending(now, self.holdings.clone(), true));
         }
         let mut holdings = self.holdings.clone();
-        let changed = self.divide_first(now, &mut holdings)
-            || (self.sole_floor().is_some() && self.reassign(now, &mut holdings));
+        let mut changed =
+            self.divide_first(now, &mut holdings) || self.reassign(now, &mut holdings);
+        if changed || self.dirty {
+            changed |= merge_neighbours(now, &mut holdings);
+        }
         if changed {
             self.mark_changes(&holdings);
         }
@@ -913,13 +965,12 @@
         write.then(|| self.pending(now, holdings, false))
     }
 
-    /// Stops renewals of what the planned holdings change.
+    /// Stops renewals of ranges that the planned holdings take from their owner.
     fn mark_changes(&mut self, planned: &[holding::LiveHolding]) {
         for live in &mut self.holdings {
-            let kept = |other: &holding::LiveHolding| {
-                other.range == live.range && other.fence == live.fence
-            };
-            live.changing = !planned.iter().any(kept);
+            let overlapping = planned.iter().filter(|other| other.range.overlaps(&live.range));
+            let mut taken = overlapping.filter(|other| other.owner != live.owner);
+            live.changing = taken.next().is_some();
         }
     }
 
@@ -932,11 +983,13 @@
         let attempt = self.next_attempt();
         self.dirty = false;
         self.collect_owners(&holdings);
-        let clean = holdings.iter().all(|live| self.is_clean(now, live));
+        let alone = self.sole_floor().is_some_and(|floor| now >= floor);
+        let clean = alone && holdings.iter().all(|live| self.is_clean(now, live));
         let record = record::OwnershipRecord {
             attempt,
             leader: self.me.clone(),
             resigned: resigns && clean,
+            predecessors: self.predecessor_nodes(),
             hold_ms: self.hold_for(holdings.len()).as_millis() as u64,
             next_fence: self.next_fence,
             owners: self.owners.clone(),
@@ -954,6 +1007,16 @@
         }
     }
 
+    fn predecessor_nodes(&self) -> Vec<record::NodeInfo> {
+        match &self.state {
+            term::TermState::Leading(term) => {
+                let states = term.predecessors.iter();
+                states.map(|state| state.node.clone()).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Returns whether no grant for the range can still arrive late.
     fn is_clean(&self, now: Duration, live: &holding::LiveHolding) -> bool {
         let over = |sent: Duration| now >= sent + holding::hold_bound(self.longest_hold);
@@ -1008,10 +1071,22 @@
         let mut candidates = self.candidates.clone();
         self.suspects.retain(|_, until| now < *until);
         candidates.exclude(|key| self.suspects.contains_key(&key));
-        let mut ledger = leveling::LoadLedger::new(now, holdings, &candidates, &self.load);
+        let capacities = candidates.usable().map(|found| {
+            let slowness = self.latency.slowness(found.info.key);
+            (found.info.key, found.capacity(now) / slowness)
+        });
+        let mut ledger = leveling::LoadLedger::new(capacities, holdings, &self.load);
         let mut moves = Vec::new();
-        let floor = self.sole_floor().unwrap_or(Duration::MAX);
-        for live in holdings.iter().filter(|live| !live.is_busy()) {
+        let floor = self.sole_floor();
+        let first_fence = self.first_fence();
+        let movable = |live: &&holding::LiveHolding| {
+            !live.is_busy() && (floor.is_some() || live.is_fenced(first_fence))
+        };
+        for live in holdings.iter().filter(movable) {
+            let floor = match live.is_fenced(first_fence) {
+                true => Duration::ZERO,
+                false => floor.unwrap_or(Duration::MAX),
+            };
             let owner = self.candidates.get(live.owner);
             let gone = owner.is_none_or(|owner| owner.draining);
             let lapsed = live.is_failing() && live.is_lapsed(now, floor, self.longest_hold);
@@ -1031,7 +1106,8 @@
         }
         if moves.is_empty() && now >= self.leveled_at + leveling::LEVEL_INTERVAL {
             self.leveled_at = now;
-            let level = leveling::level(now, holdings, &mut ledger, &self.load);
+            let parts: Vec<_> = holdings.iter().filter(movable).cloned().collect();
+            let level = leveling::level(now, &parts, &mut ledger, &self.load);
             moves.extend(level.into_iter().map(|part| (part, "load")));
         }
         let mut changed = false;
@@ -1067,7 +1143,9 @@
                 last: part.range.first - 1,
             }));
         }
-        pieces.push(live.part(part.range).moved(now, part.to, fence));
+        let first_fence = self.first_fence();
+        let moved = live.part(part.range);
+        pieces.push(moved.moved(now, part.to, fence, first_fence));
         if part.range.last < live.range.last {
             pieces.push(live.part(range::KeyRange {
                 first: part.range.last + 1,
@@ -1085,3 +1163,37 @@
         true
     }
 }
+
+/// Gives every settled range a fence number that earlier leaders cannot use.
+///
+/// Once its owner has acknowledged it, the owner refuses their renewals.
+fn raise_fences(record: &mut record::OwnershipRecord) {
+    for holding in &mut record.holdings {
+        holding.fence = match holding.formers.is_empty() {
+            true => record.next_fence,
+            false => holding.fence,
+        };
+        record.next_fence += 1;
+    }
+}
+
+/// Joins neighbouring ranges with the same owner, so that fewer calls renew them.
+fn merge_neighbours(now: Duration, holdings: &mut Vec<holding::LiveHolding>) -> bool {
+    let before = holdings.len();
+    let mut merged: Vec<holding::LiveHolding> = Vec::with_capacity(before);
+    for live in holdings.drain(..) {
+        match merged.last_mut() {
+            Some(last) if is_mergeable(now, last, &live) => *last = last.merged(now, &live),
+            _ => merged.push(live),
+        }
+    }
+    *holdings = merged;
+    holdings.len() < before
+}
+
+fn is_mergeable(now: Duration, one: &holding::LiveHolding, other: &holding::LiveHolding) -> bool {
+    let rested = |live: &holding::LiveHolding| {
+        live.is_settled() && !live.is_busy() && now >= live.since + MERGE_REST
+    };
+    one.owner == other.owner && rested(one) && rested(other)
+}
--- a/src/ownership/holding.rs
+++ b/src/ownership/holding.rs
@@ -51,12 +51,21 @@
     pub unanswered: Option<Duration>,
     pub in_flight: bool,
     pub release_at: Duration,
+    /// Whether the upstream refuses what earlier leaders may still send.
+    pub fenced: bool,
     refusals: u32,
 }
 
 impl LiveFormer {
     /// Returns whether the upstream certainly does not hold the range.
-    pub fn is_cleared(&self, now: Duration, floor: Duration, hold: Duration) -> bool {
+    ///
+    /// `floor` tells when no grant of an earlier leader can be held any more.
+    pub fn is_cleared(&self, now: Duration, floor: Option<Duration>, hold: Duration) -> bool {
+        let floor = match (self.fenced, floor) {
+            (true, _) => Duration::ZERO,
+            (false, Some(floor)) => floor,
+            (false, None) => return self.state == FormerState::Ended,
+        };
         let over = |sent: Duration| now >= floor && now >= sent + hold_bound(hold);
         match self.state {
             FormerState::Ended => true,
@@ -116,6 +125,7 @@
             unanswered: None,
             in_flight: false,
             release_at: now,
+            fenced: false,
             refusals: 0,
         });
         LiveHolding {
@@ -175,7 +185,15 @@
     }
 
     /// Returns the holding with another owner, which waits for the present one.
-    pub fn moved(&self, now: Duration, owner: ids::UpstreamKey, fence: u64) -> LiveHolding {
+    ///
+    /// `first_fence` is the least fence number that no earlier leader can use.
+    pub fn moved(
+        &self,
+        now: Duration,
+        owner: ids::UpstreamKey,
+        fence: u64,
+        first_fence: u64,
+    ) -> LiveHolding {
         let mut formers = self.formers.clone();
         formers.push(LiveFormer {
             former: record::FormerOwner {
@@ -187,12 +205,36 @@
             unanswered: self.unanswered,
             in_flight: false,
             release_at: now,
+            fenced: self.is_fenced(first_fence),
             refusals: 0,
         });
         let fresh = LiveHolding::first(now, self.range, owner, fence);
         LiveHolding { formers, ..fresh }
     }
 
+    /// Returns whether the owner refuses what earlier leaders may still send.
+    pub fn is_fenced(&self, first_fence: u64) -> bool {
+        self.fence >= first_fence && self.confirmed.is_some()
+    }
+
+    /// Returns one holding for two neighbours with the same owner.
+    pub fn merged(&self, now: Duration, next: &LiveHolding) -> LiveHolding {
+        LiveHolding {
+            range: range::KeyRange {
+                first: self.range.first,
+                last: next.range.last,
+            },
+            fence: self.fence.max(next.fence),
+            sent: self.sent.max(next.sent),
+            unanswered: self.unanswered.max(next.unanswered),
+            // The merged range has not been granted under one fence number yet.
+            confirmed: None,
+            grant_at: now,
+            since: self.since.max(next.since),
+            ..self.clone()
+        }
+    }
+
     /// Returns whether nothing is under way in the range.
     pub fn is_settled(&self) -> bool {
         self.granted && self.formers.is_empty() && !self.changing
--- a/src/ownership/leveling.rs
+++ b/src/ownership/leveling.rs
@@ -5,16 +5,16 @@
 //! loaded upstream.
 
 use crate::ids;
-use crate::ownership::{holding, load, owners};
+use crate::ownership::{holding, load};
 use crate::range;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Interval of leveling.
-pub const LEVEL_INTERVAL: Duration = Duration::from_millis(500);
+pub const LEVEL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time for which a range stays where it was moved.
-const REST: Duration = Duration::from_millis(1500);
+const REST: Duration = Duration::from_millis(900);
 
 /// Most moves of one round.
 const MAX_MOVES: usize = 12;
@@ -51,14 +51,12 @@
 impl LoadLedger {
     /// Sums up the load of each usable upstream.
     pub fn new(
-        now: Duration,
+        capacities: impl Iterator<Item = (ids::UpstreamKey, f32)>,
         holdings: &[holding::LiveHolding],
-        candidates: &owners::CandidateTable,
         load: &load::LoadMap,
     ) -> LoadLedger {
-        let usable = candidates.usable();
-        let mut entries: BTreeMap<_, _> = usable
-            .map(|found| (found.info.key, (0.0, found.capacity(now))))
+        let mut entries: BTreeMap<_, _> = capacities
+            .map(|(key, capacity)| (key, (0.0, capacity)))
             .collect();
         let size_load = load.total().max(1.0) * SIZE_WEIGHT / load::BUCKETS as f32;
         for holding in holdings {
--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -1,13 +1,91 @@
 //! Request rates over the key space, as instances report them.
 
+use crate::ids;
 use crate::range;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Buckets into which a key space is divided for counting.
 pub const BUCKETS: usize = 16_384;
 
 /// Time after which an old count weighs `1/e`; a hot key lasts some seconds.
-const DECAY: Duration = Duration::from_millis(1500);
+const DECAY: Duration = Duration::from_millis(900);
+
+/// Least and greatest factor by which an upstream counts as slower than others.
+const SLOWNESS_BOUNDS: (f32, f32) = (0.5, 2.5);
+
+/// Requests after which an older latency weighs half.
+const LATENCY_MEMORY: f32 = 15.0;
+
+/// What an instance reports to the leader.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LoadReport {
+    pub counts: Vec<BucketCount>,
+    pub latencies: Vec<OwnerLatency>,
+}
+
+impl LoadReport {
+    /// Divides the report into parts with at most `most` counts; there is one at least.
+    pub fn split(&self, most: usize) -> Vec<LoadReport> {
+        let mut parts: Vec<LoadReport> = self
+            .counts
+            .chunks(most)
+            .map(|counts| LoadReport {
+                counts: counts.to_vec(),
+                latencies: Vec::new(),
+            })
+            .collect();
+        if parts.is_empty() {
+            parts.push(LoadReport::default());
+        }
+        parts[0].latencies = self.latencies.clone();
+        parts
+    }
+}
+
+/// Answers of one owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OwnerLatency {
+    pub owner: ids::UpstreamKey,
+    pub answers: u32,
+    /// Sum of the answers' latencies, in milliseconds.
+    pub sum_ms: u32,
+}
+
+/// Moving averages of the owners' latencies.
+#[derive(Clone, Debug, Default)]
+pub struct LatencyTable {
+    /// Milliseconds.
+    averages: BTreeMap<ids::UpstreamKey, f32>,
+}
+
+impl LatencyTable {
+    /// Adds latencies that an instance reports.
+    pub fn add(&mut self, latencies: &[OwnerLatency]) {
+        for sample in latencies.iter().filter(|sample| sample.answers > 0) {
+            let answers = sample.answers as f32;
+            let mean = sample.sum_ms as f32 / answers;
+            let average = self.averages.entry(sample.owner).or_insert(mean);
+            *average += (mean - *average) * answers / (answers + LATENCY_MEMORY);
+        }
+    }
+
+    /// Returns how much slower than the typical owner an owner is.
+    pub fn slowness(&self, owner: ids::UpstreamKey) -> f32 {
+        let count = self.averages.len().max(1) as f32;
+        let typical = self.averages.values().sum::<f32>() / count;
+        let (least, most) = SLOWNESS_BOUNDS;
+        match self.averages.get(&owner) {
+            Some(average) if typical > 0.0 => (average / typical).clamp(least, most),
+            _ => 1.0,
+        }
+    }
+
+    /// Forgets owners that are gone.
+    pub fn retain(&mut self, keep: impl Fn(ids::UpstreamKey) -> bool) {
+        self.averages.retain(|owner, _| keep(*owner));
+    }
+}
 
 /// Requests counted in one bucket.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/ownership/record.rs
+++ b/src/ownership/record.rs
@@ -61,6 +61,8 @@
     pub leader: NodeInfo,
     /// Whether that instance has stopped granting for good.
     pub resigned: bool,
+    /// Earlier leaders that may still renew grants.
+    pub predecessors: Vec<NodeInfo>,
     /// Life of the grants, in milliseconds.
     pub hold_ms: u64,
     /// Fence number for the next change of an owner.
@@ -148,6 +150,30 @@
     owners: Vec<WireOwner>,
     #[prost(message, repeated, tag = "7")]
     holdings: Vec<WireHolding>,
+    #[prost(message, repeated, tag = "8")]
+    predecessors: Vec<WireNode>,
+}
+
+impl From<&NodeInfo> for WireNode {
+    fn from(node: &NodeInfo) -> WireNode {
+        WireNode {
+            run: node.run.0,
+            name: node.name.clone(),
+            address: node.address.to_string(),
+        }
+    }
+}
+
+impl TryFrom<WireNode> for NodeInfo {
+    type Error = RecordError;
+
+    fn try_from(wire: WireNode) -> Result<NodeInfo, RecordError> {
+        Ok(NodeInfo {
+            run: ids::InstanceKey(wire.run),
+            name: wire.name,
+            address: parse_address(wire.address)?,
+        })
+    }
 }
 
 impl From<&OwnershipRecord> for WireRecord {
@@ -179,11 +205,8 @@
         });
         WireRecord {
             attempt: record.attempt,
-            leader: Some(WireNode {
-                run: record.leader.run.0,
-                name: record.leader.name.clone(),
-                address: record.leader.address.to_string(),
-            }),
+            leader: Some(WireNode::from(&record.leader)),
+            predecessors: record.predecessors.iter().map(WireNode::from).collect(),
             resigned: record.resigned,
             hold_ms: record.hold_ms,
             next_fence: record.next_fence,
@@ -215,6 +238,7 @@
 
     fn try_from(wire: WireRecord) -> Result<OwnershipRecord, RecordError> {
         let leader = wire.leader.ok_or(RecordError::Missing("leader"))?;
+        let predecessors = wire.predecessors.into_iter().map(NodeInfo::try_from);
         let owners = wire.owners.into_iter().map(OwnerInfo::try_from);
         let owners = owners.collect::<Result<Vec<_>, _>>()?;
         let key = |index: u32| {
@@ -248,11 +272,8 @@
         }
         Ok(OwnershipRecord {
             attempt: wire.attempt,
-            leader: NodeInfo {
-                run: ids::InstanceKey(leader.run),
-                name: leader.name,
-                address: parse_address(leader.address)?,
-            },
+            leader: leader.try_into()?,
+            predecessors: predecessors.collect::<Result<_, _>>()?,
             resigned: wire.resigned,
             hold_ms: wire.hold_ms,
             next_fence: wire.next_fence,
--- a/src/ownership/term.rs
+++ b/src/ownership/term.rs
@@ -59,9 +59,11 @@
     pub keep_at: Duration,
     pub keep_in_flight: bool,
     pub commit: Option<PendingCommit>,
-    pub predecessor: Option<PredecessorState>,
-    /// When no grant of a predecessor can be held any more.
+    pub predecessors: Vec<PredecessorState>,
+    /// When no grant of a predecessor can be held any more, once all have ended.
     pub floor: Duration,
+    /// Least fence number that no predecessor can use.
+    pub first_fence: u64,
 }
 
 impl LeaderTerm {
