Level busy owners only; announce settled grants before they are stored

Change: nothing is moved off an owner whose slots are less than 60% in use, except to an upstream that joined; acknowledged grants are announced at once and stored with the next plan or after 1.5 s.

Ruled out: longer intervals, which slow the reaction to hot keys.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -214,8 +214,8 @@
                 self.spawn(Self::release(self.clone(), name, command));
             }
             core::OwnershipAction::Challenge(node) => self.send_beacon(service, node.address),
-            core::OwnershipAction::Announce { record, revision } => {
-                self.announce(service, &record, revision);
+            core::OwnershipAction::Announce(announcement) => {
+                self.announce(service, &announcement);
             }
             core::OwnershipAction::Event(note) => self.note(service, &note),
         }
@@ -229,10 +229,12 @@
     }
 
     /// Carries an accepted record to the other instances without the store's delay.
-    fn announce(self: &Rc<Self>, service: &str, record: &record::OwnershipRecord, revision: u64) {
-        let value = Bytes::from(record.encode());
+    fn announce(self: &Rc<Self>, service: &str, announcement: &core::Announcement) {
+        let value = Bytes::from(announcement.record.encode());
+        let (revision, step) = (announcement.revision, announcement.step);
         let content = gossip::GossipContent::Record {
             revision,
+            step,
             value: value.clone(),
         };
         let frame = self.message(service, content).encode();
@@ -246,14 +248,11 @@
             self.count_bytes(frame.len());
             self.links.send(address, frame.clone());
         }
-        self.take_record(service, revision, value);
+        self.take_record(service, (revision, step), value);
     }
 
-    fn take_record(self: &Rc<Self>, service: &str, revision: u64, value: Bytes) {
-        let effect = self
-            .mirror
-            .borrow_mut()
-            .put_record(service, revision, value);
+    fn take_record(self: &Rc<Self>, service: &str, order: (u64, u64), value: Bytes) {
+        let effect = self.mirror.borrow_mut().put_record(service, order, value);
         if effect.view {
             self.publish();
         }
@@ -716,8 +715,12 @@
                     self.send_report(&service, sender, acting, &load::LoadReport::default());
                 }
             }
-            gossip::GossipContent::Record { revision, value } => {
-                self.take_record(&service, revision, value);
+            gossip::GossipContent::Record {
+                revision,
+                step,
+                value,
+            } => {
+                self.take_record(&service, (revision, step), value);
             }
         }
     }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -44,8 +44,10 @@
     },
     /// Ownership record that the store has accepted.
     Record {
-        /// Revision of the record.
+        /// Revision of the stored record.
         revision: u64,
+        /// Order among the announcements of one revision.
+        step: u64,
         value: Bytes,
     },
 }
@@ -145,6 +147,8 @@
     revision: u64,
     #[prost(bytes = "bytes", tag = "2")]
     value: Bytes,
+    #[prost(uint64, tag = "3")]
+    step: u64,
 }
 
 impl From<&GossipMessage> for WireMessage {
@@ -161,8 +165,13 @@
                 revision: *revision,
                 instances: *instances,
             }),
-            GossipContent::Record { revision, value } => WireContent::Record(WireRecord {
+            GossipContent::Record {
+                revision,
+                step,
+                value,
+            } => WireContent::Record(WireRecord {
                 revision: *revision,
+                step: *step,
                 value: value.clone(),
             }),
         };
@@ -190,6 +199,7 @@
             },
             WireContent::Record(record) => GossipContent::Record {
                 revision: record.revision,
+                step: record.step,
                 value: record.value,
             },
         };
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -62,7 +62,12 @@
     pub config: Option<Arc<routing::RoutingConfig>>,
     pub directory: directory::UpstreamDirectory,
     leaders: HashMap<String, (ids::InstanceKey, u64)>,
+    /// Stored ownership records and their revisions.
     records: HashMap<String, (Arc<record::OwnershipRecord>, u64)>,
+    /// Newest ownership records, stored or announced.
+    current: HashMap<String, Arc<record::OwnershipRecord>>,
+    /// Revision and step of the newest announcement of each record.
+    announced: HashMap<String, (u64, u64)>,
 }
 
 impl StoreMirror {
@@ -77,6 +82,8 @@
             directory: directory::UpstreamDirectory::default(),
             leaders: HashMap::new(),
             records: HashMap::new(),
+            current: HashMap::new(),
+            announced: HashMap::new(),
         }
     }
 
@@ -87,9 +94,7 @@
 
     /// Returns the ownership record of a service.
     pub fn record(&self, service: &str) -> Option<&Arc<record::OwnershipRecord>> {
-        self.records
-            .get(&record_key(service))
-            .map(|(record, _)| record)
+        self.current.get(&record_key(service))
     }
 
     /// Returns whether a service has a leader.
@@ -145,18 +150,29 @@
     }
 
     /// Takes a service's ownership record over that its leader announced.
-    pub fn put_record(&mut self, service: &str, revision: u64, value: Bytes) -> MirrorEffect {
+    ///
+    /// `order` is the stored record's revision and the announcement's step.
+    pub fn put_record(&mut self, service: &str, order: (u64, u64), value: Bytes) -> MirrorEffect {
         let key = record_key(service);
-        let known = self.revisions.get(&key).copied().unwrap_or(0);
-        if revision <= known {
+        let stored = self.revisions.get(&key).copied().unwrap_or(0);
+        let known = self.announced.get(&key).copied().unwrap_or_default();
+        if order.0 < stored || order <= known {
             return MirrorEffect::default();
         }
-        self.revisions.insert(key.clone(), revision);
-        self.put_own(store::StoredItem {
-            key,
-            value,
-            revision,
-        })
+        match record::OwnershipRecord::decode(&value) {
+            Ok(record) => {
+                self.announced.insert(key.clone(), order);
+                self.current.insert(key, Arc::new(record));
+                MirrorEffect {
+                    view: true,
+                    ownership: false,
+                }
+            }
+            Err(error) => {
+                log::warn!("announced record of {service} dropped: {error}");
+                MirrorEffect::default()
+            }
+        }
     }
 
     /// Removes upstreams whose time to register again is over.
@@ -226,8 +242,12 @@
         }
         match record::OwnershipRecord::decode(&item.value) {
             Ok(record) => {
-                self.records
-                    .insert(item.key, (Arc::new(record), item.revision));
+                let record = Arc::new(record);
+                let announced = self.announced.get(&item.key).copied().unwrap_or_default();
+                if announced.0 < item.revision {
+                    self.current.insert(item.key.clone(), record.clone());
+                }
+                self.records.insert(item.key, (record, item.revision));
             }
             Err(error) => self.ignore(&item, error.to_string()),
         }
@@ -251,6 +271,7 @@
         if key.starts_with(OWN_PREFIX) {
             self.leaders.remove(key);
             self.records.remove(key);
+            self.current.remove(key);
             return MirrorEffect {
                 view: true,
                 ownership: true,
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -24,6 +24,11 @@
 /// Pause before a write without an answer is sent again.
 const COMMIT_RETRY: Duration = Duration::from_millis(200);
 
+/// Time after which acknowledged grants are stored if nothing else is written.
+///
+/// Until then they are only announced; a new leader would repeat them.
+const SETTLE_DELAY: Duration = Duration::from_millis(1500);
+
 /// Time after a move before a range is joined with its neighbour.
 const MERGE_REST: Duration = Duration::from_secs(3);
 
@@ -166,6 +171,17 @@
     pub former: record::FormerOwner,
 }
 
+/// What the other instances are told without the store's delay.
+#[derive(Clone, Debug)]
+pub struct Announcement {
+    /// The stored record with what was acknowledged since.
+    pub record: record::OwnershipRecord,
+    /// Revision of the stored record.
+    pub revision: u64,
+    /// Order among the announcements of one revision; the store's own has 0.
+    pub step: u64,
+}
+
 /// Output of the core.
 #[derive(Clone, Debug)]
 pub enum OwnershipAction {
@@ -181,10 +197,7 @@
     /// Asks a predecessor whether it still acts.
     Challenge(record::NodeInfo),
     /// Tells the other instances what the store has accepted.
-    Announce {
-        record: Box<record::OwnershipRecord>,
-        revision: u64,
-    },
+    Announce(Box<Announcement>),
     Event(OwnershipNote),
 }
 
@@ -242,8 +255,8 @@
     longest_hold: Duration,
     /// Upstreams that could not be reached, and until when they get no keys.
     suspects: BTreeMap<ids::UpstreamKey, Duration>,
-    /// Whether the stored record lags behind acknowledged grants.
-    dirty: bool,
+    /// Since when the stored record lags behind what happened.
+    dirty_since: Option<Duration>,
     load: load::LoadMap,
     latency: load::LatencyTable,
     leveled_at: Duration,
@@ -254,6 +267,7 @@
     notes: Vec<OwnershipNote>,
     /// Whether the last accepted record was not announced yet.
     unannounced: bool,
+    announcements: u64,
 }
 
 impl OwnershipCore {
@@ -272,7 +286,7 @@
             hold: MIN_RENEW_INTERVAL * HOLD_INTERVALS,
             longest_hold: Duration::ZERO,
             suspects: BTreeMap::new(),
-            dirty: false,
+            dirty_since: None,
             load: load::LoadMap::new(settings.last_key),
             latency: load::LatencyTable::default(),
             leveled_at: Duration::ZERO,
@@ -282,6 +296,7 @@
             stopping: false,
             notes: Vec::new(),
             unannounced: false,
+            announcements: 0,
         }
     }
 
@@ -370,10 +385,17 @@
         if std::mem::take(&mut self.unannounced)
             && let Some((record, revision)) = &self.view.record
         {
-            actions.push(OwnershipAction::Announce {
-                record: Box::new(record.clone()),
+            self.announcements += 1;
+            let holdings = self.holdings.iter();
+            let record = record::OwnershipRecord {
+                holdings: holdings.map(holding::LiveHolding::to_record).collect(),
+                ..record.clone()
+            };
+            actions.push(OwnershipAction::Announce(Box::new(Announcement {
+                record,
                 revision: *revision,
-            });
+                step: self.announcements,
+            })));
         }
         actions.extend(self.notes.drain(..).map(OwnershipAction::Event));
         actions
@@ -403,7 +425,7 @@
         self.state = term::TermState::Following;
         self.claim_at = Some(now + CLAIM_RETRY);
         self.holdings.clear();
-        self.dirty = false;
+        self.dirty_since = None;
     }
 
     fn on_lease_opened(
@@ -657,24 +679,20 @@
                 live.granted = false;
                 live.grant_at = Duration::MAX;
                 self.next_fence += 1;
-                self.dirty = true;
+                self.dirty_since = Some(Duration::ZERO);
             }
             GrantResult::Unanswered => live.note_failure(now, sent, true, renew),
             GrantResult::Unsent => live.note_failure(now, sent, false, renew),
         }
         if let Some(note) = note {
             self.notes.push(note);
-            self.dirty = true;
+            self.dirty_since.get_or_insert(now);
+            self.unannounced = true;
         }
     }
 
     /// Notes that a grant for a range that was cut or joined since may arrive late.
-    fn note_late_grant(
-        &mut self,
-        range: range::KeyRange,
-        owner: ids::UpstreamKey,
-        sent: Duration,
-    ) {
+    fn note_late_grant(&mut self, range: range::KeyRange, owner: ids::UpstreamKey, sent: Duration) {
         let overlapping = self.holdings.iter_mut();
         for live in overlapping.filter(|live| live.range.overlaps(&range)) {
             if live.owner == owner {
@@ -724,7 +742,7 @@
         if term.predecessors.is_empty() {
             term.floor = term.floor.min(now + bound);
         }
-        self.dirty = true;
+        self.dirty_since.get_or_insert(now);
         self.notes.push(OwnershipNote::PredecessorEnded {
             name: name.to_owned(),
         });
@@ -815,7 +833,7 @@
             actions.extend(nodes.into_iter().map(OwnershipAction::Challenge));
         }
         for state in ended {
-            self.dirty = true;
+            self.dirty_since.get_or_insert(now);
             let name = state.node.name;
             self.notes.push(OwnershipNote::PredecessorEnded { name });
         }
@@ -872,8 +890,7 @@
             if live.in_flight || live.changing || now < live.grant_at {
                 continue;
             }
-            let cleared =
-                |former: &holding::LiveFormer| former.is_cleared(now, floor, longest);
+            let cleared = |former: &holding::LiveFormer| former.is_cleared(now, floor, longest);
             let registered = self.candidates.get(live.owner).is_some();
             if !registered || !live.formers.iter().all(cleared) {
                 continue;
@@ -900,7 +917,11 @@
             let range = live.range;
             for former in &mut live.formers {
                 let holding = former.state == holding::FormerState::Holding;
-                if !holding || !(alone || former.fenced) || former.in_flight || now < former.release_at {
+                if !holding
+                    || !(alone || former.fenced)
+                    || former.in_flight
+                    || now < former.release_at
+                {
                     continue;
                 }
                 let key = former.former.key;
@@ -955,20 +976,23 @@
         let mut holdings = self.holdings.clone();
         let mut changed =
             self.divide_first(now, &mut holdings) || self.reassign(now, &mut holdings);
-        if changed || self.dirty {
+        let due = |since: Duration| now >= since + SETTLE_DELAY;
+        let due = self.dirty_since.is_some_and(due);
+        if changed || due {
             changed |= merge_neighbours(now, &mut holdings);
         }
         if changed {
             self.mark_changes(&holdings);
         }
-        let write = changed || std::mem::take(&mut self.dirty);
-        write.then(|| self.pending(now, holdings, false))
+        (changed || due).then(|| self.pending(now, holdings, false))
     }
 
     /// Stops renewals of ranges that the planned holdings take from their owner.
     fn mark_changes(&mut self, planned: &[holding::LiveHolding]) {
         for live in &mut self.holdings {
-            let overlapping = planned.iter().filter(|other| other.range.overlaps(&live.range));
+            let overlapping = planned
+                .iter()
+                .filter(|other| other.range.overlaps(&live.range));
             let mut taken = overlapping.filter(|other| other.owner != live.owner);
             live.changing = taken.next().is_some();
         }
@@ -981,7 +1005,7 @@
         resigns: bool,
     ) -> term::PendingCommit {
         let attempt = self.next_attempt();
-        self.dirty = false;
+        self.dirty_since = None;
         self.collect_owners(&holdings);
         let alone = self.sole_floor().is_some_and(|floor| now >= floor);
         let clean = alone && holdings.iter().all(|live| self.is_clean(now, live));
@@ -1072,8 +1096,14 @@
         self.suspects.retain(|_, until| now < *until);
         candidates.exclude(|key| self.suspects.contains_key(&key));
         let capacities = candidates.usable().map(|found| {
-            let slowness = self.latency.slowness(found.info.key);
-            (found.info.key, found.capacity(now) / slowness)
+            let key = found.info.key;
+            let latency = self.latency.latency(key).as_secs_f32();
+            let span = load::LoadMap::span().as_secs_f32();
+            leveling::OwnerCapacity {
+                key,
+                capacity: found.capacity(now) / self.latency.slowness(key),
+                use_per_count: latency / span / found.slots.max(1) as f32,
+            }
         });
         let mut ledger = leveling::LoadLedger::new(capacities, holdings, &self.load);
         let mut moves = Vec::new();
--- a/src/ownership/leveling.rs
+++ b/src/ownership/leveling.rs
@@ -22,6 +22,9 @@
 /// Load over the mean at which an owner gives keys away.
 const OVERLOAD: f32 = 1.35;
 
+/// Part of an owner's slots in use below which nothing is moved off it.
+const BUSY: f32 = 0.6;
+
 /// Requests counted in the whole service below which nothing is moved for its load.
 const MIN_TOTAL: f32 = 60.0;
 
@@ -41,56 +44,80 @@
     pub to: ids::UpstreamKey,
 }
 
+/// Ability of an upstream to carry load.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerCapacity {
+    pub key: ids::UpstreamKey,
+    /// Load that it can carry, relative to others.
+    pub capacity: f32,
+    /// Part of its slots that one counted request keeps busy.
+    pub use_per_count: f32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LedgerEntry {
+    load: f32,
+    capacity: f32,
+    use_per_count: f32,
+    holdings: usize,
+}
+
+impl LedgerEntry {
+    fn relative(&self) -> f32 {
+        self.load / self.capacity
+    }
+}
+
 /// Loads of the upstreams that take keys.
 #[derive(Debug)]
 pub struct LoadLedger {
-    /// Load and capacity of each upstream.
-    entries: BTreeMap<ids::UpstreamKey, (f32, f32)>,
+    entries: BTreeMap<ids::UpstreamKey, LedgerEntry>,
 }
 
 impl LoadLedger {
     /// Sums up the load of each usable upstream.
     pub fn new(
-        capacities: impl Iterator<Item = (ids::UpstreamKey, f32)>,
+        capacities: impl Iterator<Item = OwnerCapacity>,
         holdings: &[holding::LiveHolding],
         load: &load::LoadMap,
     ) -> LoadLedger {
-        let mut entries: BTreeMap<_, _> = capacities
-            .map(|(key, capacity)| (key, (0.0, capacity)))
-            .collect();
+        let entry = |owner: OwnerCapacity| LedgerEntry {
+            load: 0.0,
+            capacity: owner.capacity,
+            use_per_count: owner.use_per_count,
+            holdings: 0,
+        };
+        let mut entries: BTreeMap<_, _> =
+            capacities.map(|owner| (owner.key, entry(owner))).collect();
         let size_load = load.total().max(1.0) * SIZE_WEIGHT / load::BUCKETS as f32;
         for holding in holdings {
-            if let Some((sum, _)) = entries.get_mut(&holding.owner) {
-                *sum += load.load(&holding.range) + size_load * load.width(&holding.range);
+            if let Some(entry) = entries.get_mut(&holding.owner) {
+                let size = size_load * load.width(&holding.range);
+                entry.load += load.load(&holding.range) + size;
+                entry.holdings += 1;
             }
         }
         LoadLedger { entries }
     }
 
-    fn relative((sum, capacity): (f32, f32)) -> f32 {
-        sum / capacity
-    }
-
     fn mean(&self) -> f32 {
-        let sum: f32 = self.entries.values().map(|entry| entry.0).sum();
-        let capacity: f32 = self.entries.values().map(|entry| entry.1).sum();
-        sum / capacity.max(1.0)
+        let load: f32 = self.entries.values().map(|entry| entry.load).sum();
+        let capacity: f32 = self.entries.values().map(|entry| entry.capacity).sum();
+        load / capacity.max(1.0)
     }
 
     /// Returns the upstream with the least load for its capacity.
     pub fn least(&self) -> Option<ids::UpstreamKey> {
-        let by_load = |one: &&ids::UpstreamKey, other: &&ids::UpstreamKey| {
-            let load = |key: &ids::UpstreamKey| LoadLedger::relative(self.entries[key]);
-            load(one).total_cmp(&load(other))
-        };
-        self.entries.keys().min_by(by_load).copied()
+        let entries = self.entries.iter();
+        let least =
+            entries.min_by(|(_, one), (_, other)| one.relative().total_cmp(&other.relative()));
+        least.map(|(key, _)| *key)
     }
 
     fn by_load(&self) -> Vec<ids::UpstreamKey> {
-        let mut keys: Vec<_> = self.entries.keys().copied().collect();
-        let load = |key: &ids::UpstreamKey| LoadLedger::relative(self.entries[key]);
-        keys.sort_by(|one, other| load(other).total_cmp(&load(one)));
-        keys
+        let mut entries: Vec<_> = self.entries.iter().collect();
+        entries.sort_by(|(_, one), (_, other)| other.relative().total_cmp(&one.relative()));
+        entries.into_iter().map(|(key, _)| *key).collect()
     }
 
     /// Keeps an upstream from getting keys, unless no other is left.
@@ -102,8 +129,9 @@
 
     /// Adds load to an upstream.
     pub fn add(&mut self, key: ids::UpstreamKey, amount: f32) {
-        if let Some((sum, _)) = self.entries.get_mut(&key) {
-            *sum += amount;
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.load += amount;
+            entry.holdings += 1;
         }
     }
 }
@@ -196,15 +224,24 @@
 ) -> Option<(ids::UpstreamKey, RangeMove)> {
     let mean = ledger.mean();
     let to = ledger.least()?;
-    let (low_sum, low_capacity) = ledger.entries[&to];
-    let room = mean * low_capacity - low_sum;
+    let low = ledger.entries[&to];
+    let room = mean * low.capacity - low.load;
     let least_part = load.total() * MIN_PART;
     for from in ledger.by_load() {
-        let (sum, capacity) = ledger.entries[&from];
-        if sum <= mean * capacity * OVERLOAD || from == to {
+        let high = ledger.entries[&from];
+        let overloaded =
+            high.load > mean * high.capacity * OVERLOAD && high.load * high.use_per_count > BUSY;
+        // An upstream that joined gets its part even if nobody is overloaded.
+        let joins = low.holdings == 0;
+        if from == to || !(overloaded || joins) {
             return None;
         }
-        let amount = (sum - mean * capacity).min(room);
+        let excess = high.load - mean * high.capacity;
+        let amount = if joins {
+            room.min(high.load / 2.0)
+        } else {
+            excess.min(room)
+        };
         if amount < least_part {
             continue;
         }
--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Returns an owner's latency, or the typical one if none is known.
+    pub fn latency(&self, owner: ids::UpstreamKey) -> Duration {
+        let count = self.averages.len().max(1) as f32;
+        let typical = self.averages.values().sum::<f32>() / count;
+        let average = self.averages.get(&owner).copied().unwrap_or(typical);
+        Duration::from_secs_f32(average.max(0.0) / 1000.0)
+    }
+
     /// Forgets owners that are gone.
     pub fn retain(&mut self, keep: impl Fn(ids::UpstreamKey) -> bool) {
         self.averages.retain(|owner, _| keep(*owner));
@@ -136,6 +144,11 @@
         }
     }
 
+    /// Returns the mean time that a counted request has been counted.
+    pub fn span() -> Duration {
+        DECAY
+    }
+
     /// Lets old counts fade.
     pub fn decay(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.decayed);
