--- /dev/null
+++ b/standins/src/grants/world.rs
@@ -0,0 +1,619 @@
+//! Instances, store and upstreams on one injected clock.
+
+use super::server::{GrantServer, KEYS};
+pub use super::store::GrantStoreMode;
+use super::store::GrantStore;
+use godwitloom::directory;
+use godwitloom::ids;
+use godwitloom::ownership::{core, holding, load, owners, record};
+use godwitloom::range;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time allowed to a store call.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Interval of the cores' timer.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Interval of signs of life and of looks at the store.
+const SIGN_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Earliest and latest delay of what is carried out late, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 2000..12_000;
+
+/// Two upstreams that hold one key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Overlap {
+    pub key: u64,
+    pub at: Duration,
+}
+
+/// Options of a world.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantWorldOptions {
+    pub instances: usize,
+    pub servers: usize,
+    pub seed: u64,
+}
+
+struct Instance {
+    name: String,
+    core: Option<core::OwnershipCore>,
+    run: ids::InstanceKey,
+    runs: u64,
+    frozen: bool,
+    reaches_store: bool,
+    /// Events that arrived while the process stood still.
+    backlog: Vec<core::OwnershipEvent>,
+}
+
+#[derive(Debug)]
+enum Happening {
+    Tick(usize),
+    Sign(usize),
+    /// An event reaches an instance, if the run it is for still lives.
+    Event(usize, ids::InstanceKey, Box<core::OwnershipEvent>),
+    Store(usize, ids::InstanceKey, Box<StoreCall>),
+    Grant(usize, ids::InstanceKey, Box<core::GrantCommand>),
+    Release(usize, ids::InstanceKey, Box<core::ReleaseCommand>),
+    /// A grant that was held back is carried out.
+    LateGrant(Box<core::GrantCommand>, Duration),
+    /// A write that was held back is carried out.
+    LateCommit(ids::InstanceKey, Box<core::CommitOrder>),
+}
+
+#[derive(Debug)]
+enum StoreCall {
+    Open(Duration),
+    Keep(u64, Duration),
+    Commit(Box<core::CommitOrder>),
+}
+
+/// Fake site of one service with owned keys.
+pub struct GrantWorld {
+    pub now: Duration,
+    instances: Vec<Instance>,
+    servers: Vec<GrantServer>,
+    store: GrantStore,
+    /// Grants without an answer that are carried out late, in percent.
+    pub late_percent: u32,
+    cut: BTreeSet<(usize, usize)>,
+    queue: BTreeMap<Reverse<(Reverse<Duration>, Reverse<u64>)>, Happening>,
+    counter: u64,
+    random: fastrand::Rng,
+    hot_key: Option<u64>,
+    /// Every moment at which two upstreams held one key.
+    pub overlaps: Vec<Overlap>,
+    /// Decisions of all instances, for messages of failed tests.
+    pub notes: Vec<String>,
+}
+
+impl GrantWorld {
+    /// Creates a world in which everything works.
+    pub fn new(options: GrantWorldOptions) -> GrantWorld {
+        let instances = (0..options.instances).map(|index| Instance {
+            name: format!("gw-{index}"),
+            core: None,
+            run: ids::InstanceKey::default(),
+            runs: 0,
+            frozen: false,
+            reaches_store: true,
+            backlog: Vec::new(),
+        });
+        let mut world = GrantWorld {
+            now: Duration::from_secs(1),
+            instances: instances.collect(),
+            servers: (0..options.servers).map(GrantServer::new).collect(),
+            store: GrantStore::default(),
+            late_percent: 0,
+            cut: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            counter: 0,
+            random: fastrand::Rng::with_seed(options.seed),
+            hot_key: None,
+            overlaps: Vec::new(),
+            notes: Vec::new(),
+        };
+        for index in 0..options.instances {
+            world.start_instance(index);
+            world.plan(TICK, Happening::Tick(index));
+            world.plan(SIGN_INTERVAL, Happening::Sign(index));
+        }
+        world
+    }
+
+    fn plan(&mut self, after: Duration, happening: Happening) {
+        self.counter += 1;
+        let key = Reverse((Reverse(self.now + after), Reverse(self.counter)));
+        self.queue.insert(key, happening);
+    }
+
+    fn latency(&mut self) -> Duration {
+        Duration::from_micros(self.random.u64(300..4000))
+    }
+
+    fn start_instance(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.runs += 1;
+        instance.run = ids::InstanceKey::derive(&instance.name, instance.runs);
+        instance.frozen = false;
+        instance.backlog.clear();
+        let node = record::NodeInfo {
+            run: instance.run,
+            name: instance.name.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], 7000 + index as u16)),
+        };
+        instance.core = Some(core::OwnershipCore::new(
+            node,
+            core::OwnershipSettings {
+                last_key: KEYS - 1,
+                max_hold: Duration::from_secs(10),
+            },
+        ));
+    }
+
+    /// Ends an instance's process.
+    pub fn kill(&mut self, index: usize) {
+        self.instances[index].core = None;
+    }
+
+    /// Starts a process that ended, as another run.
+    pub fn restart(&mut self, index: usize) {
+        if self.instances[index].core.is_none() {
+            self.start_instance(index);
+        }
+    }
+
+    /// Lets a process stand still.
+    pub fn freeze(&mut self, index: usize) {
+        self.instances[index].frozen = true;
+    }
+
+    /// Lets a process go on; what arrived meanwhile is handled then.
+    pub fn thaw(&mut self, index: usize) {
+        self.instances[index].frozen = false;
+        let backlog = std::mem::take(&mut self.instances[index].backlog);
+        for event in backlog {
+            self.feed(index, event);
+        }
+    }
+
+    /// Asks an instance to stop gracefully.
+    pub fn stop(&mut self, index: usize) {
+        self.deliver(index, core::OwnershipEvent::Stop);
+    }
+
+    /// Cuts an instance off the store, or ends the cut.
+    pub fn set_reaches_store(&mut self, index: usize, reaches: bool) {
+        self.instances[index].reaches_store = reaches;
+    }
+
+    /// Silences the path between an instance and an upstream, or heals it.
+    pub fn set_cut(&mut self, instance: usize, server: usize, cut: bool) {
+        match cut {
+            true => self.cut.insert((instance, server)),
+            false => self.cut.remove(&(instance, server)),
+        };
+    }
+
+    /// Changes what the store does with calls.
+    pub fn set_store(&mut self, mode: GrantStoreMode) {
+        self.store.mode = mode;
+    }
+
+    /// Ends an upstream's life.
+    pub fn crash_server(&mut self, index: usize) {
+        self.servers[index].crash(self.now);
+    }
+
+    /// Begins another life of an upstream that ended.
+    pub fn restart_server(&mut self, index: usize) {
+        self.servers[index].restart();
+    }
+
+    /// Lets an upstream drain, or return.
+    pub fn set_draining(&mut self, index: usize, draining: bool) {
+        self.servers[index].draining = draining;
+    }
+
+    /// Cuts an upstream off the store, or ends the cut.
+    pub fn set_server_reaches_store(&mut self, index: usize, reaches: bool) {
+        let now = self.now;
+        self.servers[index].set_reaches_store(now, reaches);
+    }
+
+    /// Sends most requests to one key, or none.
+    pub fn set_hot_key(&mut self, key: Option<u64>) {
+        self.hot_key = key;
+    }
+
+    /// Ends all faults.
+    pub fn end_faults(&mut self) {
+        self.store.mode = GrantStoreMode::Up;
+        self.late_percent = 0;
+        self.cut.clear();
+        for index in 0..self.instances.len() {
+            self.instances[index].reaches_store = true;
+            self.restart(index);
+            if self.instances[index].frozen {
+                self.thaw(index);
+            }
+        }
+        for index in 0..self.servers.len() {
+            self.servers[index].restart();
+            self.set_server_reaches_store(index, true);
+            self.servers[index].draining = false;
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(entry) = self.queue.last_entry() {
+            let Reverse((Reverse(at), _)) = *entry.key();
+            if at > end {
+                break;
+            }
+            let happening = entry.remove();
+            self.now = at;
+            self.store.expire(at);
+            self.happen(happening);
+            self.look();
+        }
+        self.now = end;
+    }
+
+    /// Notes keys that two upstreams hold.
+    fn look(&mut self) {
+        for key in 0..KEYS {
+            let holders = self.servers.iter();
+            let holders = holders.filter(|server| server.held(key, self.now).is_some());
+            if holders.count() > 1 {
+                self.overlaps.push(Overlap { key, at: self.now });
+            }
+        }
+    }
+
+    /// Returns the keys that no upstream holds.
+    pub fn unowned(&self) -> Vec<u64> {
+        let held = |key: &u64| {
+            let mut servers = self.servers.iter();
+            servers.any(|server| server.held(*key, self.now).is_some())
+        };
+        (0..KEYS).filter(|key| !held(key)).collect()
+    }
+
+    /// Returns the upstream that holds a key.
+    pub fn owner(&self, key: u64) -> Option<usize> {
+        let mut servers = self.servers.iter();
+        servers.position(|server| server.held(key, self.now).is_some())
+    }
+
+    /// Returns the instance that leads.
+    pub fn leader(&self) -> Option<usize> {
+        self.instances.iter().position(|instance| {
+            instance.core.as_ref().is_some_and(core::OwnershipCore::is_leading)
+        })
+    }
+
+    /// Returns the number of ranges in the stored record.
+    pub fn ranges(&self) -> usize {
+        let record = self.store.view().record;
+        record.map_or(0, |(record, _)| record.holdings.len())
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick(index) => {
+                self.plan(TICK, Happening::Tick(index));
+                if !self.instances[index].frozen {
+                    self.feed(index, core::OwnershipEvent::Tick);
+                }
+            }
+            Happening::Sign(index) => self.sign(index),
+            Happening::Event(index, run, event) => {
+                if self.instances[index].run == run {
+                    self.deliver(index, *event);
+                }
+            }
+            Happening::Store(index, run, call) => self.call_store(index, run, *call),
+            Happening::Grant(index, run, command) => self.call_grant(index, run, *command),
+            Happening::Release(index, run, command) => self.call_release(index, run, *command),
+            Happening::LateGrant(command, arrived) => self.carry_out(&command, arrived),
+            Happening::LateCommit(run, order) => {
+                self.store.commit(self.now, run, &order);
+            }
+        }
+    }
+
+    fn deliver(&mut self, index: usize, event: core::OwnershipEvent) {
+        match self.instances[index].frozen {
+            true => self.instances[index].backlog.push(event),
+            false => self.feed(index, event),
+        }
+    }
+
+    fn feed(&mut self, index: usize, event: core::OwnershipEvent) {
+        let now = self.now;
+        let Some(core) = &mut self.instances[index].core else {
+            return;
+        };
+        let actions = core.step(now, event);
+        for action in actions {
+            self.perform(index, action);
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: core::OwnershipAction) {
+        let run = self.instances[index].run;
+        let latency = self.latency();
+        match action {
+            core::OwnershipAction::OpenLease { ttl } => {
+                let call = Box::new(StoreCall::Open(ttl));
+                self.plan(latency, Happening::Store(index, run, call));
+            }
+            core::OwnershipAction::KeepLease { lease } => {
+                let call = Box::new(StoreCall::Keep(lease, self.now));
+                self.plan(latency, Happening::Store(index, run, call));
+            }
+            core::OwnershipAction::Commit(order) => {
+                let call = Box::new(StoreCall::Commit(order));
+                self.plan(latency, Happening::Store(index, run, call));
+            }
+            core::OwnershipAction::Grant(command) => {
+                self.plan(latency, Happening::Grant(index, run, Box::new(command)));
+            }
+            core::OwnershipAction::Release(command) => {
+                self.plan(latency, Happening::Release(index, run, Box::new(command)));
+            }
+            core::OwnershipAction::Challenge(node) => self.challenge(index, &node),
+            core::OwnershipAction::Announce(_) => {}
+            core::OwnershipAction::Event(note) => {
+                let name = &self.instances[index].name;
+                self.notes.push(format!("{:?} {name}: {note:?}", self.now));
+            }
+        }
+    }
+
+    fn reply(&mut self, index: usize, run: ids::InstanceKey, event: core::OwnershipEvent) {
+        let latency = self.latency();
+        self.plan(latency, Happening::Event(index, run, Box::new(event)));
+    }
+
+    fn fail(
+        &mut self,
+        index: usize,
+        run: ids::InstanceKey,
+        after: Duration,
+        event: core::OwnershipEvent,
+    ) {
+        self.plan(after, Happening::Event(index, run, Box::new(event)));
+    }
+
+    fn call_store(&mut self, index: usize, run: ids::InstanceKey, call: StoreCall) {
+        let reached = self.instances[index].reaches_store;
+        let mode = match reached {
+            true => self.store.mode,
+            false => GrantStoreMode::Down,
+        };
+        let now = self.now;
+        let done = !matches!(mode, GrantStoreMode::Down);
+        let answered = matches!(mode, GrantStoreMode::Up);
+        let (answer, failure) = match call {
+            StoreCall::Open(ttl) => {
+                let lease = done.then(|| self.store.open_lease(now, ttl));
+                (
+                    core::OwnershipEvent::LeaseOpened { sent: now, lease },
+                    core::OwnershipEvent::LeaseOpened { sent: now, lease: None },
+                )
+            }
+            StoreCall::Keep(lease, sent) => {
+                let alive = done.then(|| self.store.keep_lease(now, lease));
+                (
+                    core::OwnershipEvent::LeaseKept { sent, alive },
+                    core::OwnershipEvent::LeaseKept { sent, alive: None },
+                )
+            }
+            StoreCall::Commit(order) => {
+                if mode == GrantStoreMode::LateWrites {
+                    let late = Duration::from_millis(self.random.u64(1000..6000));
+                    self.plan(late, Happening::LateCommit(run, order));
+                    let unknown = core::OwnershipEvent::Committed(core::CommitResult::Unknown);
+                    self.fail(index, run, STORE_TIMEOUT, unknown);
+                    return;
+                }
+                let result = match done {
+                    true => self.store.commit(now, run, &order),
+                    false => core::CommitResult::Unknown,
+                };
+                (
+                    core::OwnershipEvent::Committed(result),
+                    core::OwnershipEvent::Committed(core::CommitResult::Unknown),
+                )
+            }
+        };
+        match answered {
+            true => self.reply(index, run, answer),
+            false => self.fail(index, run, STORE_TIMEOUT, failure),
+        }
+    }
+
+    fn find_server(&self, address: SocketAddr) -> Option<usize> {
+        let mut servers = self.servers.iter();
+        servers.position(|server| server.info.address == address)
+    }
+
+    fn call_grant(&mut self, index: usize, run: ids::InstanceKey, command: core::GrantCommand) {
+        let granted = |result| core::OwnershipEvent::Granted {
+            range: command.range,
+            owner: command.owner.key,
+            fence: command.fence,
+            sent: command.sent,
+            result,
+        };
+        let server = self.find_server(command.owner.address);
+        let server = server.filter(|server| self.servers[*server].alive);
+        let Some(server) = server else {
+            self.reply(index, run, granted(core::GrantResult::Unsent));
+            return;
+        };
+        if self.cut.contains(&(index, server)) {
+            let unsent = granted(core::GrantResult::Unsent);
+            self.fail(index, run, holding::GRANT_TIMEOUT, unsent);
+            return;
+        }
+        if self.random.u32(0..100) < self.late_percent {
+            let unanswered = granted(core::GrantResult::Unanswered);
+            self.fail(index, run, holding::GRANT_TIMEOUT, unanswered);
+            let late = Duration::from_millis(self.random.u64(LATE_MS));
+            let arrived = self.now;
+            self.plan(late, Happening::LateGrant(Box::new(command), arrived));
+            return;
+        }
+        let now = self.now;
+        let taken = self.servers[server].grant(&command.range, command.fence, now, command.hold);
+        let result = match taken {
+            true => core::GrantResult::Granted,
+            false => core::GrantResult::Fenced,
+        };
+        self.reply(index, run, granted(result));
+    }
+
+    fn carry_out(&mut self, command: &core::GrantCommand, arrived: Duration) {
+        let servers = self.servers.iter_mut();
+        let mut same = servers.filter(|server| server.info.key == command.owner.key);
+        if let Some(server) = same.next() {
+            server.grant(&command.range, command.fence, arrived, command.hold);
+        }
+    }
+
+    fn call_release(&mut self, index: usize, run: ids::InstanceKey, command: core::ReleaseCommand) {
+        let released = |result| core::OwnershipEvent::Released {
+            range: command.range,
+            former: command.former,
+            result,
+        };
+        let server = self.find_server(command.owner.address);
+        let Some(server) = server.filter(|server| self.servers[*server].alive) else {
+            let refused = released(core::ReleaseResult::ConnectionRefused);
+            self.reply(index, run, refused);
+            return;
+        };
+        if self.cut.contains(&(index, server)) {
+            let unanswered = released(core::ReleaseResult::Unanswered);
+            self.fail(index, run, holding::RELEASE_TIMEOUT, unanswered);
+            return;
+        }
+        self.servers[server].release(&command.range);
+        self.reply(index, run, released(core::ReleaseResult::Released(None)));
+    }
+
+    /// Shows an instance the store, and the leader the instance.
+    fn sign(&mut self, index: usize) {
+        self.plan(SIGN_INTERVAL, Happening::Sign(index));
+        let instance = &self.instances[index];
+        if instance.core.is_none() || instance.frozen {
+            return;
+        }
+        if instance.reaches_store && self.store.mode != GrantStoreMode::Down {
+            let candidates = self.candidates();
+            self.feed(index, core::OwnershipEvent::Candidates(candidates));
+            let view = self.store.view();
+            self.feed(index, core::OwnershipEvent::Seen(view));
+        }
+        let instance = &self.instances[index];
+        let acting = instance.core.as_ref().is_some_and(core::OwnershipCore::is_leading);
+        let event = core::OwnershipEvent::Sign {
+            name: instance.name.clone(),
+            run: instance.run,
+            acting,
+        };
+        let counts = self.counts();
+        for leader in 0..self.instances.len() {
+            let leads = self.instances[leader].core.as_ref();
+            if leads.is_some_and(core::OwnershipCore::is_leading) {
+                let run = self.instances[leader].run;
+                self.reply(leader, run, event.clone());
+                self.reply(leader, run, core::OwnershipEvent::Load(counts.clone()));
+            }
+        }
+    }
+
+    fn counts(&mut self) -> load::LoadReport {
+        let mut counts = Vec::new();
+        for _ in 0..20 {
+            let key = match self.hot_key.filter(|_| self.random.bool()) {
+                Some(key) => key,
+                None => self.random.u64(0..KEYS),
+            };
+            let bucket = load::bucket_of(key, KEYS - 1) as u32;
+            counts.push(load::BucketCount { bucket, count: 1 });
+        }
+        let latencies = self.servers.iter().map(|server| load::OwnerLatency {
+            owner: server.info.key,
+            answers: 1,
+            sum_ms: 400,
+        });
+        load::LoadReport {
+            counts,
+            latencies: latencies.collect(),
+        }
+    }
+
+    fn candidates(&self) -> owners::CandidateTable {
+        let mut table = directory::UpstreamDirectory::default();
+        for server in &self.servers {
+            if server.is_registered(self.now) {
+                table.put(self.now, server.entry());
+            }
+        }
+        let candidates = table.iter().map(owners::OwnerCandidate::from).collect();
+        owners::CandidateTable::new(candidates)
+    }
+
+    fn challenge(&mut self, index: usize, node: &record::NodeInfo) {
+        let core = self.instances[index].core.as_ref();
+        let Some(revision) = core.and_then(core::OwnershipCore::leading_since) else {
+            return;
+        };
+        let found = self.instances.iter().position(|other| other.name == node.name);
+        let Some(other) = found.filter(|other| {
+            self.instances[*other].core.is_some() && !self.instances[*other].frozen
+        }) else {
+            return;
+        };
+        self.feed(other, core::OwnershipEvent::Superseded { revision });
+        let instance = &self.instances[other];
+        let acting = instance.core.as_ref().is_some_and(core::OwnershipCore::is_leading);
+        let event = core::OwnershipEvent::Sign {
+            name: instance.name.clone(),
+            run: instance.run,
+            acting,
+        };
+        let run = self.instances[index].run;
+        self.reply(index, run, event);
+    }
+
+    /// Returns the last decisions, for messages of failed tests.
+    pub fn describe(&self) -> String {
+        let last = self.notes.len().saturating_sub(60);
+        let unowned = self.unowned();
+        format!(
+            "leader {:?}, unowned keys {unowned:?}, overlaps {:?}\n{}",
+            self.leader(),
+            self.overlaps.first(),
+            self.notes[last..].join("\n")
+        )
+    }
+
+    /// Returns the whole key space.
+    pub fn space() -> range::KeyRange {
+        range::KeyRange {
+            first: 0,
+            last: KEYS - 1,
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod capacity;
 pub mod failover;
+pub mod grants;
 pub mod heap;
 pub mod http;
 pub mod load;
