Let the life at a former owner's address release before its keys move

Cause: fuzzing found two owners within 60 sequences: a renewal meant for a life that had ended reached the next one at the same address, and the leader took the new life's entry for proof that nobody held the keys.

Change: a replaced life counts as ended only if its successor is elsewhere; a life at the same address must release.

Ruled out: the raised fences; the overlap came with the first one of a life.

--- a/src/h1/client.rs
+++ b/src/h1/client.rs
@@ -14,6 +14,18 @@
 /// Longest body of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// A call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallRequest<'a> {
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Further header fields.
+    pub fields: &'a [(&'a str, &'a str)],
+    pub body: &'a [u8],
+    pub timeout: Duration,
+}
+
 /// Whole answer to a call.
 #[derive(Clone, Debug)]
 pub struct CallAnswer {
@@ -83,33 +95,24 @@
         }
     }
 
-    /// Sends one request and reads the whole answer within `timeout`.
-    pub async fn call(
-        &self,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        timeout: Duration,
-    ) -> Result<CallAnswer, CallError> {
-        self.call_if(method, target, body, timeout, || true).await
+    /// Sends one request and reads the whole answer.
+    pub async fn call(&self, request: &CallRequest<'_>) -> Result<CallAnswer, CallError> {
+        self.call_if(request, || true).await
     }
 
     /// Sends one request unless `valid` denies it just before its first byte.
     pub async fn call_if(
         &self,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        timeout: Duration,
+        request: &CallRequest<'_>,
         valid: impl Fn() -> bool,
     ) -> Result<CallAnswer, CallError> {
         let sent = Cell::new(false);
-        let bytes = self.encode(method, target, body);
-        let exchange = self.exchange(method, &bytes, valid, &sent);
-        let answer = timer::within(timeout, exchange).await;
+        let bytes = self.encode(request);
+        let exchange = self.exchange(request.method, &bytes, valid, &sent);
+        let answer = timer::within(request.timeout, exchange).await;
         answer.unwrap_or(Err(CallError::Timeout {
             address: self.address,
-            timeout,
+            timeout: request.timeout,
             sent: sent.get(),
         }))
     }
@@ -160,10 +163,14 @@
         Ok(reader::MessageReader::new(socket))
     }
 
-    fn encode(&self, method: &str, target: &str, body: &[u8]) -> Vec<u8> {
+    fn encode(&self, request: &CallRequest<'_>) -> Vec<u8> {
+        let CallRequest { method, target, .. } = request;
         let mut head = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
-        if method != "GET" {
-            let length = body.len();
+        for (name, value) in request.fields {
+            write!(head, "{name}: {value}\r\n").expect("strings take any text");
+        }
+        if *method != "GET" {
+            let length = request.body.len();
             let write = write!(
                 head,
                 "Content-Type: application/json\r\nContent-Length: {length}\r\n"
@@ -172,7 +179,7 @@
         }
         head.push_str("\r\n");
         let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(body);
+        bytes.extend_from_slice(request.body);
         bytes
     }
 }
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -348,8 +348,10 @@
             OwnershipEvent::Seen(view) => self.on_seen(now, view),
             OwnershipEvent::Candidates(candidates) => {
                 self.latency.retain(|key| candidates.get(key).is_some());
+                if !candidates.has_same_keys(&self.candidates) {
+                    self.candidates_at = now;
+                }
                 self.candidates = candidates;
-                self.candidates_at = now;
             }
             OwnershipEvent::Load(report) => {
                 self.load.add(&report.counts);
@@ -864,7 +866,7 @@
                 }
                 let key = former.former.key;
                 let info = self.owners.iter().find(|info| info.key == key);
-                let replaced = info.is_some_and(|info| self.candidates.is_replaced(info));
+                let replaced = info.is_some_and(|info| self.candidates.has_moved_away(info));
                 if replaced || former.is_cleared(now, floor, hold) {
                     former.state = holding::FormerState::Ended;
                     self.notes.push(OwnershipNote::FormerCleared {
--- a/src/ownership/owners.rs
+++ b/src/ownership/owners.rs
@@ -3,6 +3,7 @@
 use crate::directory;
 use crate::ids;
 use crate::ownership::record;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Part of its capacity that an upstream offers while it warms up.
@@ -57,6 +58,17 @@
         CandidateTable { candidates }
     }
 
+    /// Returns whether two tables have the same upstreams.
+    pub fn has_same_keys(&self, other: &CandidateTable) -> bool {
+        let keys = |table: &CandidateTable| {
+            let candidates = table.candidates.iter();
+            candidates
+                .map(|found| found.info.key)
+                .collect::<BTreeSet<_>>()
+        };
+        keys(self) == keys(other)
+    }
+
     /// Keeps matching upstreams from getting keys, unless no other is left.
     pub fn exclude(&mut self, excluded: impl Fn(ids::UpstreamKey) -> bool) {
         if self.usable().all(|found| excluded(found.info.key)) {
@@ -75,14 +87,13 @@
         self.candidates.iter().filter(|found| !found.draining)
     }
 
-    /// Returns whether a life certainly ended: another one has its id or address.
-    pub fn is_replaced(&self, info: &record::OwnerInfo) -> bool {
-        let replaces = |found: &OwnerCandidate| {
-            let other = &found.info;
-            let reborn = other.id == info.id && other.born_ms > info.born_ms;
-            let reused = other.address == info.address && other.id != info.id;
-            reborn || (reused && other.born_ms > info.born_ms)
-        };
-        self.candidates.iter().any(replaces)
+    /// Returns whether a life certainly ended, with nobody left at its address.
+    ///
+    /// Another life at the same address may have taken grants that were meant for
+    /// the former one, so it must release them.
+    pub fn has_moved_away(&self, info: &record::OwnerInfo) -> bool {
+        let lives = self.candidates.iter().map(|found| &found.info);
+        let mut reborn = lives.filter(|other| other.id == info.id && other.born_ms > info.born_ms);
+        reborn.any(|other| other.address != info.address)
     }
 }
--- a/standins/src/grants/world.rs
+++ b/standins/src/grants/world.rs
@@ -7,7 +7,6 @@
 use godwitloom::ids;
 use godwitloom::ownership::{core, holding, load, owners, record};
 use godwitloom::range;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -81,7 +80,7 @@
     /// Grants without an answer that are carried out late, in percent.
     pub late_percent: u32,
     cut: BTreeSet<(usize, usize)>,
-    queue: BTreeMap<Reverse<(Reverse<Duration>, Reverse<u64>)>, Happening>,
+    queue: BTreeMap<(Duration, u64), Happening>,
     counter: u64,
     random: fastrand::Rng,
     hot_key: Option<u64>,
@@ -127,8 +126,7 @@
 
     fn plan(&mut self, after: Duration, happening: Happening) {
         self.counter += 1;
-        let key = Reverse((Reverse(self.now + after), Reverse(self.counter)));
-        self.queue.insert(key, happening);
+        self.queue.insert((self.now + after, self.counter), happening);
     }
 
     fn latency(&mut self) -> Duration {
@@ -252,8 +250,8 @@
     /// Lets time pass.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
-        while let Some(entry) = self.queue.last_entry() {
-            let Reverse((Reverse(at), _)) = *entry.key();
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
             if at > end {
                 break;
             }
