--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,6 +3,7 @@
 //! A route is chosen by host and by the longest prefix of the path. A
 //! configuration is replaced as a whole and only by a newer version.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -103,7 +104,7 @@
             hosts.entry(host).or_default().push(Arc::new(rule));
         }
         for rules in hosts.values_mut() {
-            rules.sort_by(|one, other| other.prefix.len().cmp(&one.prefix.len()));
+            rules.sort_by_key(|rule| Reverse(rule.prefix.len()));
         }
         let services = services.into_iter();
         RoutingConfig {
--- a/standins/src/grants/store.rs
+++ b/standins/src/grants/store.rs
@@ -34,7 +34,11 @@
     pub fn expire(&mut self, now: Duration) {
         self.leases.retain(|_, (_, until)| now < *until);
         let ended = |lease: &u64| !self.leases.contains_key(lease);
-        if self.leader.as_ref().is_some_and(|(_, _, lease)| ended(lease)) {
+        if self
+            .leader
+            .as_ref()
+            .is_some_and(|(_, _, lease)| ended(lease))
+        {
             self.leader = None;
             self.revision += 1;
         }
@@ -84,7 +88,10 @@
                 stored.map(|(record, revision)| (Box::new(record), revision)),
             );
         }
-        if order.claim.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+        if order
+            .claim
+            .is_some_and(|lease| !self.leases.contains_key(&lease))
+        {
             return core::CommitResult::LeaseEnded;
         }
         self.revision += 2;
--- a/standins/src/grants/world.rs
+++ b/standins/src/grants/world.rs
@@ -1,8 +1,8 @@
 //! Instances, store and upstreams on one injected clock.
 
 use super::server::{GrantServer, KEYS};
-pub use super::store::GrantStoreMode;
 use super::store::GrantStore;
+pub use super::store::GrantStoreMode;
 use godwitloom::directory;
 use godwitloom::ids;
 use godwitloom::ownership::{core, holding, load, owners, record};
@@ -126,7 +126,8 @@
 
     fn plan(&mut self, after: Duration, happening: Happening) {
         self.counter += 1;
-        self.queue.insert((self.now + after, self.counter), happening);
+        self.queue
+            .insert((self.now + after, self.counter), happening);
     }
 
     fn latency(&mut self) -> Duration {
@@ -293,7 +294,10 @@
     /// Returns the instance that leads.
     pub fn leader(&self) -> Option<usize> {
         self.instances.iter().position(|instance| {
-            instance.core.as_ref().is_some_and(core::OwnershipCore::is_leading)
+            instance
+                .core
+                .as_ref()
+                .is_some_and(core::OwnershipCore::is_leading)
         })
     }
 
@@ -405,7 +409,10 @@
                 let lease = done.then(|| self.store.open_lease(now, ttl));
                 (
                     core::OwnershipEvent::LeaseOpened { sent: now, lease },
-                    core::OwnershipEvent::LeaseOpened { sent: now, lease: None },
+                    core::OwnershipEvent::LeaseOpened {
+                        sent: now,
+                        lease: None,
+                    },
                 )
             }
             StoreCall::Keep(lease, sent) => {
@@ -523,7 +530,10 @@
             self.feed(index, core::OwnershipEvent::Seen(view));
         }
         let instance = &self.instances[index];
-        let acting = instance.core.as_ref().is_some_and(core::OwnershipCore::is_leading);
+        let acting = instance
+            .core
+            .as_ref()
+            .is_some_and(core::OwnershipCore::is_leading);
         let event = core::OwnershipEvent::Sign {
             name: instance.name.clone(),
             run: instance.run,
@@ -577,7 +587,10 @@
         let Some(revision) = core.and_then(core::OwnershipCore::leading_since) else {
             return;
         };
-        let found = self.instances.iter().position(|other| other.name == node.name);
+        let found = self
+            .instances
+            .iter()
+            .position(|other| other.name == node.name);
         let Some(other) = found.filter(|other| {
             self.instances[*other].core.is_some() && !self.instances[*other].frozen
         }) else {
@@ -585,7 +598,10 @@
         };
         self.feed(other, core::OwnershipEvent::Superseded { revision });
         let instance = &self.instances[other];
-        let acting = instance.core.as_ref().is_some_and(core::OwnershipCore::is_leading);
+        let acting = instance
+            .core
+            .as_ref()
+            .is_some_and(core::OwnershipCore::is_leading);
         let event = core::OwnershipEvent::Sign {
             name: instance.name.clone(),
             run: instance.run,
--- a/tests/fuzz_pushed_grants.rs
+++ b/tests/fuzz_pushed_grants.rs
@@ -127,7 +127,11 @@
     }
 
     fn check_invariants(world: &GrantWorld, _: &FaultModel) {
-        assert!(world.overlaps.is_empty(), "two owners\n{}", world.describe());
+        assert!(
+            world.overlaps.is_empty(),
+            "two owners\n{}",
+            world.describe()
+        );
     }
 
     fn teardown(mut world: GrantWorld, _: FaultModel) {
@@ -138,7 +142,11 @@
         world.end_faults();
         world.set_hot_key(None);
         world.run(RECOVERY);
-        assert!(world.overlaps.is_empty(), "two owners\n{}", world.describe());
+        assert!(
+            world.overlaps.is_empty(),
+            "two owners\n{}",
+            world.describe()
+        );
         let unowned = world.unowned();
         assert!(unowned.is_empty(), "unowned keys\n{}", world.describe());
     }
