Move keys for significant load only; take over an earlier run's leadership

Change: a load must exceed the mean by 2.5 standard deviations; latencies have a longer memory; an instance that starts again replaces its own earlier leader's key.

Ruled out: fewer bytes a record; the number of moves was the larger part.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -342,6 +342,7 @@
         if let Some(lease) = order.claim {
             let value = mirror::LeaderValue {
                 run: self.identity.node.run,
+                name: self.identity.node.name.clone(),
             };
             let value = serde_json::to_vec(&value).expect("leader values always encode");
             writes.push(store::StoreWrite {
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -31,9 +31,11 @@
 }
 
 /// Value of a leader's key.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct LeaderValue {
     pub run: ids::InstanceKey,
+    /// Name of the instance, the same for all its runs.
+    pub name: String,
 }
 
 /// What a change means to the rest of the instance.
@@ -61,7 +63,7 @@
     as_of: u64,
     pub config: Option<Arc<routing::RoutingConfig>>,
     pub directory: directory::UpstreamDirectory,
-    leaders: HashMap<String, (ids::InstanceKey, u64)>,
+    leaders: HashMap<String, core::LeaderView>,
     /// Stored ownership records and their revisions.
     records: HashMap<String, (Arc<record::OwnershipRecord>, u64)>,
     /// Newest ownership records, stored or announced.
@@ -106,7 +108,7 @@
     pub fn store_view(&self, service: &str) -> core::StoreView {
         let record = self.records.get(&record_key(service));
         core::StoreView {
-            leader: self.leaders.get(&leader_key(service)).copied(),
+            leader: self.leaders.get(&leader_key(service)).cloned(),
             record: record.map(|(record, revision)| ((**record).clone(), *revision)),
             as_of: self.as_of,
         }
@@ -234,7 +236,12 @@
         if item.key.starts_with("godwitloom/leader/") {
             match serde_json::from_slice::<LeaderValue>(&item.value) {
                 Ok(value) => {
-                    self.leaders.insert(item.key, (value.run, item.revision));
+                    let leader = core::LeaderView {
+                        run: value.run,
+                        name: value.name,
+                        revision: item.revision,
+                    };
+                    self.leaders.insert(item.key, leader);
                 }
                 Err(error) => self.ignore(&item, error.to_string()),
             }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -345,6 +345,7 @@
             let input = choice::ChoiceInput {
                 tried,
                 body_bytes: routed.request.body.len(),
+                objective: routed.rule.objective,
                 boot_now: now,
             };
             let choice = choice::choose(&self.pools, service, view.instances, &input);
@@ -362,7 +363,10 @@
         if owner.draining_since.is_some_and(leaving) || pool.is_avoided(Instant::now()) {
             return Ok(Err(WaitReason::NoOwner(changed)));
         }
-        if pool.in_flight() >= choice::share(owner.slots, view.instances) {
+        let objective = routed.rule.objective;
+        let instances = view.instances;
+        let limit = choice::limit(&pool, owner.slots, instances, objective, Instant::now());
+        if pool.in_flight() >= limit {
             return Ok(Err(WaitReason::Full(freed)));
         }
         Ok(Ok(self.pools.enter(&pool)))
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -14,6 +14,9 @@
 /// Least share of one instance in an upstream's capacity, in requests.
 const MIN_SHARE: usize = 2;
 
+/// Part of the latency objective beyond which an upstream counts as slow.
+const SLOW_SHARE: f64 = 0.9;
+
 /// Factor on the cost of an upstream in another availability zone.
 const FAR_FACTOR: f64 = 1.3;
 
@@ -38,6 +41,8 @@
     pub tried: &'a TriedList,
     /// Length of the request's body, in bytes.
     pub body_bytes: usize,
+    /// Latency objective of the request's route.
+    pub objective: Duration,
     /// Time on the boot clock.
     pub boot_now: Duration,
 }
@@ -52,10 +57,22 @@
     Nothing,
 }
 
-/// Returns the requests that one instance may have at an upstream.
-pub fn share(slots: u32, instances: usize) -> usize {
+/// Returns the requests that one instance may have at an upstream now.
+///
+/// An upstream whose answers already take most of the objective gets one at a
+/// time, so that its queue drains.
+pub fn limit(
+    pool: &pools::UpstreamPool,
+    slots: u32,
+    instances: usize,
+    objective: Duration,
+    now: Instant,
+) -> usize {
     let total = slots as usize * LOAD_PER_SLOT;
-    total.div_ceil(instances.max(1)).max(MIN_SHARE)
+    let share = total.div_ceil(instances.max(1)).max(MIN_SHARE);
+    let (latency, weight) = pool.latency(now);
+    let slow = latency * weight > objective.as_secs_f64() * SLOW_SHARE;
+    if slow { 1 } else { share }
 }
 
 /// Chooses the cheapest upstream of a service without owned keys.
@@ -79,7 +96,8 @@
     let mut best: Option<(f64, &Rc<pools::UpstreamPool>)> = None;
     for pool in &all {
         let view = pool.view.borrow();
-        let full = pool.in_flight() >= share(view.slots, instances);
+        let limit = limit(pool, view.slots, instances, request.objective, now);
+        let full = pool.in_flight() >= limit;
         if full || (reachable && pool.is_avoided(now)) {
             continue;
         }
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -47,11 +47,21 @@
     pub max_hold: Duration,
 }
 
+/// Leader's key in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaderView {
+    pub run: ids::InstanceKey,
+    /// Name of the instance, the same for all its runs.
+    pub name: String,
+    /// Revision of the key.
+    pub revision: u64,
+}
+
 /// What the metadata store holds, as far as this instance has seen.
 #[derive(Clone, Debug, Default)]
 pub struct StoreView {
-    /// Run that leads, and the revision of its key.
-    pub leader: Option<(ids::InstanceKey, u64)>,
+    /// Who leads, as its key in the store says.
+    pub leader: Option<LeaderView>,
     /// Ownership record and its revision.
     pub record: Option<(record::OwnershipRecord, u64)>,
     /// Revision up to which the store was seen.
@@ -140,7 +150,7 @@
 /// Write to the store that the core asks for.
 #[derive(Clone, Debug)]
 pub struct CommitOrder {
-    /// Revision of the leader's key that must still hold; 0 claims the service.
+    /// Revision of the leader's key that must still hold; 0 if there must be none.
     pub leader_revision: u64,
     /// Revision of the record that must still hold; 0 creates it.
     pub record_revision: u64,
@@ -411,8 +421,8 @@
         let term::TermState::Leading(term) = &self.state else {
             return;
         };
-        let lost = match self.view.leader {
-            Some((run, revision)) => run != self.me.run && revision > term.revision,
+        let lost = match &self.view.leader {
+            Some(leader) => leader.run != self.me.run && leader.revision > term.revision,
             None => self.view.as_of > term.revision,
         };
         if lost {
@@ -459,7 +469,9 @@
                 holdings: Vec::new(),
             },
         };
-        if !record.resigned && record.leader.run != self.me.run {
+        // An earlier run of this instance has ended, since this one runs.
+        record.predecessors.retain(|node| node.name != self.me.name);
+        if !record.resigned && record.leader.name != self.me.name {
             record.predecessors.push(record.leader.clone());
         }
         record.attempt = attempt;
@@ -467,7 +479,11 @@
         record.resigned = false;
         raise_fences(&mut record);
         actions.push(OwnershipAction::Commit(Box::new(CommitOrder {
-            leader_revision: 0,
+            leader_revision: self
+                .view
+                .leader
+                .as_ref()
+                .map_or(0, |leader| leader.revision),
             record_revision: self.record_revision(),
             claim: Some(lease),
             resign: false,
@@ -559,7 +575,11 @@
         self.next_fence = record.next_fence;
         self.set_hold(Duration::from_millis(record.hold_ms));
         self.view.record = Some((record, revision));
-        self.view.leader = Some((self.me.run, revision));
+        self.view.leader = Some(LeaderView {
+            run: self.me.run,
+            name: self.me.name.clone(),
+            revision,
+        });
         self.view.as_of = self.view.as_of.max(revision);
         let bound = holding::hold_bound(self.longest_hold);
         let floor = match (predecessors.is_empty(), clean) {
@@ -769,7 +789,11 @@
     }
 
     fn advance_following(&mut self, now: Duration, actions: &mut Vec<OwnershipAction>) {
-        let vacant = self.view.leader.is_none() && self.view.as_of > 0;
+        let vacant = match &self.view.leader {
+            // The key of an earlier run lives on until its lease ends.
+            Some(leader) => leader.name == self.me.name && leader.run != self.me.run,
+            None => self.view.as_of > 0,
+        };
         let needed = self.candidates.usable().next().is_some();
         if !vacant || !needed || self.stopping {
             self.claim_at = None;
--- a/src/ownership/leveling.rs
+++ b/src/ownership/leveling.rs
@@ -25,6 +25,9 @@
 /// Part of an owner's slots in use below which nothing is moved off it.
 const BUSY: f32 = 0.6;
 
+/// Standard deviations by which a load must exceed the mean, against chance.
+const SIGNIFICANCE: f32 = 2.5;
+
 /// Requests counted in the whole service below which nothing is moved for its load.
 const MIN_TOTAL: f32 = 60.0;
 
@@ -229,14 +232,16 @@
     let least_part = load.total() * MIN_PART;
     for from in ledger.by_load() {
         let high = ledger.entries[&from];
-        let overloaded =
-            high.load > mean * high.capacity * OVERLOAD && high.load * high.use_per_count > BUSY;
+        let usual = mean * high.capacity;
+        let chance = SIGNIFICANCE * usual.max(1.0).sqrt();
+        let overloaded = high.load > (usual * OVERLOAD).max(usual + chance)
+            && high.load * high.use_per_count > BUSY;
         // An upstream that joined gets its part even if nobody is overloaded.
         let joins = low.holdings == 0;
         if from == to || !(overloaded || joins) {
             return None;
         }
-        let excess = high.load - mean * high.capacity;
+        let excess = high.load - usual;
         let amount = if joins {
             room.min(high.load / 2.0)
         } else {
--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -12,10 +12,10 @@
 const DECAY: Duration = Duration::from_millis(900);
 
 /// Least and greatest factor by which an upstream counts as slower than others.
-const SLOWNESS_BOUNDS: (f32, f32) = (0.5, 2.5);
+const SLOWNESS_BOUNDS: (f32, f32) = (0.6, 2.2);
 
 /// Requests after which an older latency weighs half.
-const LATENCY_MEMORY: f32 = 15.0;
+const LATENCY_MEMORY: f32 = 40.0;
 
 /// What an instance reports to the leader.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/standins/src/grants/store.rs
+++ b/standins/src/grants/store.rs
@@ -18,12 +18,18 @@
     LateWrites,
 }
 
+#[derive(Debug)]
+struct StoredLeader {
+    view: core::LeaderView,
+    lease: u64,
+}
+
 /// Values with their revisions.
 #[derive(Debug, Default)]
 pub struct GrantStore {
     pub mode: GrantStoreMode,
     revision: u64,
-    leader: Option<(ids::InstanceKey, u64, u64)>,
+    leader: Option<StoredLeader>,
     record: Option<(record::OwnershipRecord, u64)>,
     leases: BTreeMap<u64, (Duration, Duration)>,
     next_lease: u64,
@@ -33,12 +39,8 @@
     /// Ends leases that were not renewed.
     pub fn expire(&mut self, now: Duration) {
         self.leases.retain(|_, (_, until)| now < *until);
-        let ended = |lease: &u64| !self.leases.contains_key(lease);
-        if self
-            .leader
-            .as_ref()
-            .is_some_and(|(_, _, lease)| ended(lease))
-        {
+        let ended = |leader: &StoredLeader| !self.leases.contains_key(&leader.lease);
+        if self.leader.as_ref().is_some_and(ended) {
             self.leader = None;
             self.revision += 1;
         }
@@ -47,7 +49,7 @@
     /// Returns what a watch shows.
     pub fn view(&self) -> core::StoreView {
         core::StoreView {
-            leader: self.leader.map(|(run, revision, _)| (run, revision)),
+            leader: self.leader.as_ref().map(|leader| leader.view.clone()),
             record: self.record.clone(),
             as_of: self.revision + 1,
         }
@@ -80,7 +82,10 @@
         order: &core::CommitOrder,
     ) -> core::CommitResult {
         self.expire(now);
-        let leader = self.leader.map_or(0, |(_, revision, _)| revision);
+        let leader = self
+            .leader
+            .as_ref()
+            .map_or(0, |leader| leader.view.revision);
         let record = self.record.as_ref().map_or(0, |(_, revision)| *revision);
         if (leader, record) != (order.leader_revision, order.record_revision) {
             let stored = self.record.clone();
@@ -98,7 +103,13 @@
         let revision = self.revision;
         self.record = Some((order.record.clone(), revision));
         if let Some(lease) = order.claim {
-            self.leader = Some((run, revision, lease));
+            let name = order.record.leader.name.clone();
+            let view = core::LeaderView {
+                run,
+                name,
+                revision,
+            };
+            self.leader = Some(StoredLeader { view, lease });
         }
         if order.resign {
             self.leader = None;
