--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -59,8 +59,8 @@
 
 /// Returns the requests that one instance may have at an upstream now.
 ///
-/// An upstream whose answers already take most of the objective gets one at a
-/// time, so that its queue drains.
+/// An upstream whose answers already take most of the objective gets fewer, so
+/// that its queue drains.
 pub fn limit(
     pool: &pools::UpstreamPool,
     slots: u32,
@@ -72,7 +72,7 @@
     let share = total.div_ceil(instances.max(1)).max(MIN_SHARE);
     let (latency, weight) = pool.latency(now);
     let slow = latency * weight > objective.as_secs_f64() * SLOW_SHARE;
-    if slow { 1 } else { share }
+    if slow { share - 1 } else { share }
 }
 
 /// Chooses the cheapest upstream of a service without owned keys.
--- /dev/null
+++ b/tests/ownership_core.rs
@@ -0,0 +1,463 @@
+//! One leader's decisions, event by event.
+
+use godwitloom::ids;
+use godwitloom::ownership::core::{
+    CommitOrder, CommitResult, GrantCommand, GrantResult, LeaderView, OwnershipAction,
+    OwnershipCore, OwnershipEvent, OwnershipSettings, ReleaseResult, StoreView,
+};
+use godwitloom::ownership::{load, owners, record, term};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const LAST_KEY: u64 = 63;
+const TICK: Duration = Duration::from_millis(50);
+
+fn node(name: &str, run: u64) -> record::NodeInfo {
+    record::NodeInfo {
+        run: ids::InstanceKey::derive(name, run),
+        name: name.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7000)),
+    }
+}
+
+fn candidate(index: u16, draining: bool) -> owners::OwnerCandidate {
+    let id = format!("server-{index}");
+    owners::OwnerCandidate {
+        info: record::OwnerInfo {
+            key: ids::UpstreamKey::derive_life("service", &id, 1),
+            id: id.into(),
+            born_ms: 1,
+            address: SocketAddr::from(([127, 0, 0, 1], 9000 + index)),
+        },
+        draining,
+        slots: 4,
+        warm_at: Duration::ZERO,
+    }
+}
+
+fn candidates(draining: &[u16]) -> owners::CandidateTable {
+    let all = (0..2).map(|index| candidate(index, draining.contains(&index)));
+    owners::CandidateTable::new(all.collect())
+}
+
+/// A core whose calls are answered by the test.
+struct Driver {
+    core: OwnershipCore,
+    now: Duration,
+    revision: u64,
+    commits: Vec<CommitOrder>,
+    grants: Vec<GrantCommand>,
+    releases: Vec<(record::FormerOwner, godwitloom::range::KeyRange)>,
+    announced: Vec<record::OwnershipRecord>,
+    /// Whether calls of that kind are answered.
+    store_answers: bool,
+    upstreams_answer: bool,
+    releases_answer: bool,
+}
+
+impl Driver {
+    fn new(name: &str, run: u64) -> Driver {
+        let settings = OwnershipSettings {
+            last_key: LAST_KEY,
+            max_hold: Duration::from_secs(10),
+        };
+        Driver {
+            core: OwnershipCore::new(node(name, run), settings),
+            now: Duration::from_secs(100),
+            revision: 10,
+            commits: Vec::new(),
+            grants: Vec::new(),
+            releases: Vec::new(),
+            announced: Vec::new(),
+            store_answers: true,
+            upstreams_answer: true,
+            releases_answer: true,
+        }
+    }
+
+    fn feed(&mut self, event: OwnershipEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.core.step(self.now, event) {
+                events.extend(self.answer(action));
+            }
+        }
+    }
+
+    fn answer(&mut self, action: OwnershipAction) -> Option<OwnershipEvent> {
+        let sent = self.now;
+        match action {
+            OwnershipAction::OpenLease { .. } => Some(OwnershipEvent::LeaseOpened {
+                sent,
+                lease: self.store_answers.then_some(1),
+            }),
+            OwnershipAction::KeepLease { .. } => Some(OwnershipEvent::LeaseKept {
+                sent,
+                alive: self.store_answers.then_some(true),
+            }),
+            OwnershipAction::Commit(order) => {
+                self.commits.push(*order);
+                self.revision += 1;
+                let revision = self.revision;
+                let result = match self.store_answers {
+                    true => CommitResult::Committed { revision },
+                    false => CommitResult::Unknown,
+                };
+                Some(OwnershipEvent::Committed(result))
+            }
+            OwnershipAction::Grant(command) => {
+                let event = OwnershipEvent::Granted {
+                    range: command.range,
+                    owner: command.owner.key,
+                    fence: command.fence,
+                    sent,
+                    result: match self.upstreams_answer {
+                        true => GrantResult::Granted,
+                        false => GrantResult::Unanswered,
+                    },
+                };
+                self.grants.push(command);
+                Some(event)
+            }
+            OwnershipAction::Release(command) => {
+                self.releases.push((command.former, command.range));
+                self.releases_answer.then_some(OwnershipEvent::Released {
+                    range: command.range,
+                    former: command.former,
+                    result: ReleaseResult::Released(Some("state".to_owned())),
+                })
+            }
+            OwnershipAction::Announce(announcement) => {
+                self.announced.push(announcement.record);
+                None
+            }
+            OwnershipAction::Challenge(_) | OwnershipAction::Event(_) => None,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.feed(OwnershipEvent::Tick);
+        }
+    }
+
+    /// Lets the core lead a service whose store holds `record`.
+    fn lead(&mut self, record: Option<record::OwnershipRecord>) {
+        let view = StoreView {
+            leader: None,
+            record: record.map(|record| (record, 5)),
+            as_of: 6,
+        };
+        self.feed(OwnershipEvent::Candidates(candidates(&[])));
+        self.feed(OwnershipEvent::Seen(view));
+        self.run(Duration::from_secs(2));
+        assert!(self.core.is_leading());
+    }
+
+    fn last_record(&self) -> &record::OwnershipRecord {
+        &self.commits.last().expect("something was written").record
+    }
+}
+
+#[test]
+fn grants_follow_the_stored_record() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    let first = driver
+        .commits
+        .iter()
+        .position(|order| !order.record.holdings.is_empty());
+    let stored = &driver.commits[first.expect("a division is stored")].record;
+    for grant in &driver.grants {
+        let same = |holding: &&record::Holding| holding.range == grant.range;
+        let holding = stored
+            .holdings
+            .iter()
+            .find(same)
+            .expect("stored before it is sent");
+        assert_eq!(
+            (holding.owner, holding.fence),
+            (grant.owner.key, grant.fence)
+        );
+    }
+    let announced = driver.announced.last().expect("grants are announced");
+    assert!(announced.holdings.iter().all(|holding| holding.granted));
+}
+
+#[test]
+fn nothing_is_granted_before_its_write_is_known() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_answers = false;
+    driver.feed(OwnershipEvent::Candidates(candidates(&[0])));
+    driver.grants.clear();
+    driver.run(Duration::from_secs(3));
+    let moved = candidate(0, true).info.key;
+    assert!(
+        driver.releases.is_empty(),
+        "a release needs the stored plan too"
+    );
+    assert!(
+        driver.grants.iter().all(|grant| grant.owner.key != moved),
+        "a range that may have a new owner is not renewed"
+    );
+    assert!(!driver.grants.is_empty(), "other ranges are renewed");
+}
+
+#[test]
+fn authority_without_the_store_ends() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_answers = false;
+    driver.run(term::AUTHORITY - Duration::from_secs(1));
+    assert!(
+        driver.core.is_leading(),
+        "an outage of the store is outlived"
+    );
+    driver.run(Duration::from_secs(2));
+    assert!(!driver.core.is_leading());
+    driver.grants.clear();
+    driver.run(Duration::from_secs(5));
+    assert!(driver.grants.is_empty());
+}
+
+#[test]
+fn a_draining_owner_releases_before_another_is_granted() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.grants.clear();
+    driver.releases_answer = false;
+    driver.feed(OwnershipEvent::Candidates(candidates(&[0])));
+    driver.run(Duration::from_millis(500));
+    let (former, range) = *driver.releases.first().expect("a release is sent");
+    assert_eq!(former.key, candidate(0, true).info.key);
+    let granted = |driver: &Driver| {
+        driver
+            .grants
+            .iter()
+            .any(|grant| grant.range.overlaps(&range))
+    };
+    assert!(!granted(&driver), "the former owner may still work");
+    driver.feed(OwnershipEvent::Released {
+        range,
+        former,
+        result: ReleaseResult::Released(Some("state".to_owned())),
+    });
+    driver.run(TICK * 2);
+    let grant = driver.grants.iter().find(|grant| grant.range == range);
+    let grant = grant.expect("the next owner is granted at once");
+    assert!(grant.fence > former.fence);
+    assert_eq!(grant.handover.as_deref(), Some("state"));
+}
+
+#[test]
+fn a_former_owner_with_an_unanswered_grant_is_waited_out() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.upstreams_answer = false;
+    driver.run(Duration::from_millis(1100));
+    driver.upstreams_answer = true;
+    driver.grants.clear();
+    let begun = driver.now;
+    driver.feed(OwnershipEvent::Candidates(candidates(&[0])));
+    let moved = candidate(0, true).info.key;
+    while !driver
+        .releases
+        .iter()
+        .any(|(former, _)| former.key == moved)
+    {
+        driver.run(TICK);
+    }
+    let (_, range) = driver.releases[0];
+    while !driver.grants.iter().any(|grant| grant.range == range) {
+        driver.run(TICK);
+        assert!(driver.now < begun + Duration::from_secs(10));
+    }
+    assert!(
+        driver.now >= begun + Duration::from_secs(3),
+        "the late grant may still live"
+    );
+}
+
+fn record_of_another(resigned: bool) -> record::OwnershipRecord {
+    let owners = [candidate(0, false).info, candidate(1, false).info];
+    let holding = |first: u64, owner: &record::OwnerInfo, fence| record::Holding {
+        range: godwitloom::range::KeyRange {
+            first,
+            last: first + 31,
+        },
+        owner: owner.key,
+        fence,
+        granted: true,
+        formers: record::FormerList::new(),
+    };
+    record::OwnershipRecord {
+        attempt: 1,
+        leader: node("gw-1", 1),
+        resigned,
+        predecessors: Vec::new(),
+        hold_ms: 3000,
+        next_fence: 3,
+        holdings: vec![holding(0, &owners[0], 1), holding(32, &owners[1], 2)],
+        owners: owners.to_vec(),
+    }
+}
+
+#[test]
+fn a_new_leader_renews_at_once_and_fences_its_predecessor_off() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record_of_another(false)));
+    let owners: Vec<_> = driver.grants.iter().map(|grant| grant.owner.key).collect();
+    assert!(owners.contains(&candidate(0, false).info.key));
+    assert!(
+        driver.grants.iter().all(|grant| grant.fence >= 3),
+        "earlier numbers are refused"
+    );
+    let record = driver.last_record();
+    assert_eq!(
+        record.predecessors,
+        [node("gw-1", 1)],
+        "a later leader must know of it too"
+    );
+    // The predecessor is not proven to have stopped, yet its number is refused.
+    let begun = driver.now;
+    driver.feed(OwnershipEvent::Candidates(candidates(&[0])));
+    driver.grants.clear();
+    driver.run(Duration::from_secs(1));
+    let moved = driver
+        .grants
+        .iter()
+        .any(|grant| grant.range.first < 32 && grant.owner.key == candidate(1, false).info.key);
+    assert!(moved, "keys move within {:?}", driver.now - begun);
+}
+
+#[test]
+fn a_silent_owner_waits_for_the_predecessor() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.upstreams_answer = false;
+    driver.lead(Some(record_of_another(false)));
+    let only = owners::CandidateTable::new(vec![candidate(1, false)]);
+    driver.feed(OwnershipEvent::Candidates(only));
+    driver.run(Duration::from_secs(5));
+    let moved = |driver: &Driver| {
+        driver
+            .grants
+            .iter()
+            .any(|grant| grant.range.first < 32 && grant.owner.key == candidate(1, false).info.key)
+    };
+    assert!(
+        !moved(&driver),
+        "the predecessor may renew the silent owner"
+    );
+    driver.upstreams_answer = true;
+    driver.releases_answer = false;
+    driver.feed(OwnershipEvent::Sign {
+        name: "gw-1".to_owned(),
+        run: node("gw-1", 2).run,
+        acting: false,
+    });
+    driver.run(Duration::from_secs(6));
+    assert!(moved(&driver), "a restarted predecessor renews nothing");
+}
+
+#[test]
+fn a_resigned_predecessor_is_not_waited_for() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record_of_another(true)));
+    assert!(driver.last_record().predecessors.is_empty());
+}
+
+#[test]
+fn an_earlier_run_of_the_same_instance_is_replaced_at_once() {
+    let mut driver = Driver::new("gw-1", 2);
+    let view = StoreView {
+        leader: Some(LeaderView {
+            run: node("gw-1", 1).run,
+            name: "gw-1".to_owned(),
+            revision: 4,
+        }),
+        record: Some((record_of_another(false), 5)),
+        as_of: 6,
+    };
+    driver.feed(OwnershipEvent::Candidates(candidates(&[])));
+    driver.feed(OwnershipEvent::Seen(view));
+    driver.run(Duration::from_millis(300));
+    assert!(driver.core.is_leading());
+    assert_eq!(driver.commits[0].leader_revision, 4);
+    assert!(driver.commits[0].record.predecessors.is_empty());
+}
+
+#[test]
+fn a_stopping_leader_resigns_when_its_calls_have_ended() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.feed(OwnershipEvent::Stop);
+    driver.run(TICK * 3);
+    let last = driver.commits.last().expect("something was written");
+    assert!(last.resign && last.record.resigned);
+    assert!(driver.core.is_finished());
+    driver.grants.clear();
+    driver.run(Duration::from_secs(3));
+    assert!(driver.grants.is_empty());
+}
+
+#[test]
+fn another_writer_of_the_record_ends_the_leadership() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_answers = false;
+    driver.feed(OwnershipEvent::Candidates(candidates(&[0])));
+    driver.run(TICK);
+    let other = CommitResult::Conflict(Some((Box::new(record_of_another(false)), 50)));
+    driver.feed(OwnershipEvent::Committed(other));
+    driver.run(TICK);
+    assert!(!driver.core.is_leading());
+}
+
+#[test]
+fn hot_keys_are_cut_out_and_moved() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    let hot = load::bucket_of(5, LAST_KEY) as u32;
+    let busy = owners::CandidateTable::new(vec![candidate(0, false), candidate(1, false)]);
+    driver.feed(OwnershipEvent::Candidates(busy));
+    for _ in 0..10 {
+        let mut counts: Vec<_> = (0..LAST_KEY)
+            .map(|key| load::BucketCount {
+                bucket: load::bucket_of(key, LAST_KEY) as u32,
+                count: 1,
+            })
+            .collect();
+        counts.push(load::BucketCount {
+            bucket: hot,
+            count: 60,
+        });
+        let latencies = (0..2).map(|index| load::OwnerLatency {
+            owner: candidate(index, false).info.key,
+            answers: 20,
+            sum_ms: 4000,
+        });
+        driver.feed(OwnershipEvent::Load(load::LoadReport {
+            counts,
+            latencies: latencies.collect(),
+        }));
+        driver.run(Duration::from_millis(300));
+    }
+    let record = driver.announced.last().expect("moves are announced");
+    assert!(record.holdings.len() > 2, "{:?}", record.holdings);
+    let gaps = record
+        .holdings
+        .windows(2)
+        .all(|two| two[0].range.last + 1 == two[1].range.first);
+    assert!(gaps, "the ranges cover all keys");
+}
+
+#[test]
+fn records_survive_encoding() {
+    let record = record_of_another(true);
+    let decoded = record::OwnershipRecord::decode(&record.encode()).expect("a record");
+    assert_eq!(decoded, record);
+    assert!(record::OwnershipRecord::decode(b"\xff\xff").is_err());
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,127 @@
+//! Choice of routes, and the directory of upstreams.
+
+use godwitloom::directory::{
+    DirectoryChange, RETURN_GRACE, UpstreamDirectory, UpstreamEntry, UpstreamState,
+};
+use godwitloom::routing::{CallerLimits, RequestKind, RouteRule, RoutingConfig, ServiceShare};
+use std::time::Duration;
+
+fn rule(prefix: &str) -> RouteRule {
+    RouteRule {
+        name: prefix.into(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        shares: vec![ServiceShare {
+            service: "reads".into(),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        attempts: 2,
+        priority: 1,
+    }
+}
+
+fn config(routes: &[(&str, &str)]) -> RoutingConfig {
+    let limits = CallerLimits {
+        head_bytes: 1000,
+        body_bytes: 1000,
+        head_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    let routes = routes.iter();
+    let routes = routes.map(|(host, prefix)| ((*host).to_owned(), rule(prefix)));
+    RoutingConfig::new(1, limits, Vec::new(), routes.collect())
+}
+
+fn routed(config: &RoutingConfig, host: &str, path: &str) -> Option<String> {
+    config.route(host, path).map(|rule| rule.prefix.clone())
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let config = config(&[("a", "/x/"), ("a", "/x/y/"), ("b", "/")]);
+    assert_eq!(routed(&config, "a", "/x/1").as_deref(), Some("/x/"));
+    assert_eq!(routed(&config, "a", "/x/y/1").as_deref(), Some("/x/y/"));
+    assert_eq!(routed(&config, "A", "/x/y").as_deref(), Some("/x/"));
+    assert_eq!(routed(&config, "a", "/z/"), None);
+    assert_eq!(routed(&config, "b", "/z/").as_deref(), Some("/"));
+    assert_eq!(routed(&config, "c", "/x/"), None);
+}
+
+fn entry(id: &str, born_ms: u64, port: u16, state: UpstreamState) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.into(),
+        born_ms,
+        service: "reads".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: "yqr".into(),
+        slots: 4,
+        state,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn ready(id: &str, born_ms: u64, port: u16) -> UpstreamEntry {
+    entry(id, born_ms, port, UpstreamState::Ready)
+}
+
+const NOW: Duration = Duration::from_secs(50);
+
+#[test]
+fn entries_gone_in_calm_times_are_gone_at_once() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(NOW, ready("one", 1, 1));
+    let change = directory.remove(NOW, "one");
+    assert!(matches!(change, Some(DirectoryChange::Removed(_))));
+    assert_eq!(directory.iter().count(), 0);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(NOW, ready("one", 1, 1));
+    directory.put(NOW, ready("two", 1, 2));
+    directory.regained(NOW);
+    directory.retain(NOW + Duration::from_millis(5), &[]);
+    assert_eq!(directory.iter().count(), 2);
+    let back = directory.put(NOW + Duration::from_secs(1), ready("one", 1, 1));
+    assert!(matches!(back[..], [DirectoryChange::Returned(_)]));
+    directory.expire(NOW + RETURN_GRACE);
+    let left: Vec<_> = directory
+        .iter()
+        .map(|known| known.entry.id.to_string())
+        .collect();
+    assert_eq!(left, ["one"]);
+}
+
+#[test]
+fn draining_upstreams_get_no_time_to_return() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(NOW, entry("one", 1, 1, UpstreamState::Draining));
+    directory.regained(NOW);
+    directory.remove(NOW, "one");
+    assert_eq!(directory.iter().count(), 0);
+}
+
+#[test]
+fn another_life_replaces_the_former_one() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(NOW, ready("one", 1, 1));
+    let first = directory.iter().next().expect("an upstream").key;
+    let changes = directory.put(NOW, ready("one", 2, 1));
+    assert!(changes.contains(&DirectoryChange::Removed(first)));
+    assert_eq!(directory.iter().count(), 1);
+}
+
+#[test]
+fn an_address_that_is_used_again_ends_its_former_upstream() {
+    let mut directory = UpstreamDirectory::default();
+    directory.put(NOW, ready("one", 1, 1));
+    directory.put(NOW, ready("two", 5, 1));
+    let left: Vec<_> = directory
+        .iter()
+        .map(|known| known.entry.id.to_string())
+        .collect();
+    assert_eq!(left, ["two"]);
+}
