--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -336,12 +336,12 @@
         tried: &choice::TriedList,
     ) -> Result<Result<pools::PoolPermit, WaitReason>, answer::RefusalReason> {
         let changed = self.context.changed.listen();
-        let freed = self.pools.freed.listen();
         let view = self.context.view.load();
         let service = view.services.get(&routed.service);
         let service = service.ok_or(answer::RefusalReason::NoUpstream)?;
         let now = self.context.clock.now();
         let Some(key) = routed.key else {
+            let any_freed = self.pools.listen();
             let input = choice::ChoiceInput {
                 tried,
                 body_bytes: routed.request.body.len(),
@@ -351,15 +351,16 @@
             let choice = choice::choose(&self.pools, service, view.instances, &input);
             return match choice {
                 choice::Choice::Found(permit) => Ok(Ok(permit)),
-                choice::Choice::Full => Ok(Err(WaitReason::Full(freed))),
+                choice::Choice::Full => Ok(Err(WaitReason::Full(any_freed))),
                 choice::Choice::Nothing => Err(answer::RefusalReason::NoUpstream),
             };
         };
         let view::KeyOwner::Upstream(owner) = service.owner(key) else {
             return Ok(Err(WaitReason::NoOwner(changed)));
         };
-        let leaving = |since: Duration| now >= since + DRAINING_USE;
         let pool = self.pools.get(&owner);
+        let freed = pool.listen();
+        let leaving = |since: Duration| now >= since + DRAINING_USE;
         if owner.draining_since.is_some_and(leaving) || pool.is_avoided(Instant::now()) {
             return Ok(Err(WaitReason::NoOwner(changed)));
         }
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -3,9 +3,11 @@
 use crate::gateway::view;
 use crate::h1::{head, reader, socket};
 use crate::ids;
+use event_listener::{Event, EventListener};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Idle life of a connection whose upstream states no timeout.
@@ -53,21 +55,25 @@
 /// One upstream as one traffic thread uses it.
 #[derive(Debug)]
 pub struct UpstreamPool {
-    pub view: RefCell<std::sync::Arc<view::UpstreamView>>,
+    pub view: RefCell<Arc<view::UpstreamView>>,
     state: RefCell<PoolState>,
+    /// Notified when a request leaves the upstream.
+    freed: Event,
 }
 
 /// Count of one request at an upstream.
 #[derive(Debug)]
 pub struct PoolPermit {
     pool: Rc<UpstreamPool>,
-    freed: std::sync::Arc<event_listener::Event>,
+    any_freed: Rc<Event>,
 }
 
 impl Drop for PoolPermit {
     fn drop(&mut self) {
         self.pool.state.borrow_mut().in_flight -= 1;
-        self.freed.notify(1);
+        self.pool.freed.notify(1);
+        // Waiters for any upstream may need another service's.
+        self.any_freed.notify(usize::MAX);
     }
 }
 
@@ -79,7 +85,7 @@
 }
 
 impl UpstreamPool {
-    fn new(view: std::sync::Arc<view::UpstreamView>) -> UpstreamPool {
+    fn new(view: Arc<view::UpstreamView>) -> UpstreamPool {
         UpstreamPool {
             view: RefCell::new(view),
             state: RefCell::new(PoolState {
@@ -92,9 +98,15 @@
                 avoid_until: None,
                 misdirected: false,
             }),
+            freed: Event::new(),
         }
     }
 
+    /// Listens for a request that leaves the upstream.
+    pub fn listen(&self) -> EventListener {
+        self.freed.listen()
+    }
+
     /// Returns the requests that this thread has at the upstream.
     pub fn in_flight(&self) -> usize {
         self.state.borrow().in_flight
@@ -201,17 +213,21 @@
 #[derive(Debug, Default)]
 pub struct PoolSet {
     pools: RefCell<HashMap<ids::UpstreamKey, Rc<UpstreamPool>>>,
-    /// Notified when a request leaves an upstream.
-    pub freed: std::sync::Arc<event_listener::Event>,
+    any_freed: Rc<Event>,
 }
 
 impl PoolSet {
+    /// Listens for a request that leaves any upstream.
+    pub fn listen(&self) -> EventListener {
+        self.any_freed.listen()
+    }
+
     /// Returns the pool of an upstream.
-    pub fn get(&self, view: &std::sync::Arc<view::UpstreamView>) -> Rc<UpstreamPool> {
+    pub fn get(&self, view: &Arc<view::UpstreamView>) -> Rc<UpstreamPool> {
         let mut pools = self.pools.borrow_mut();
         let new = || Rc::new(UpstreamPool::new(view.clone()));
         let pool = pools.entry(view.key).or_insert_with(new);
-        if !std::sync::Arc::ptr_eq(&pool.view.borrow(), view) {
+        if !Arc::ptr_eq(&pool.view.borrow(), view) {
             pool.view.replace(view.clone());
         }
         pool.clone()
@@ -222,7 +238,7 @@
         pool.state.borrow_mut().in_flight += 1;
         PoolPermit {
             pool: pool.clone(),
-            freed: self.freed.clone(),
+            any_freed: self.any_freed.clone(),
         }
     }
 
--- a/src/h1/reader.rs
+++ b/src/h1/reader.rs
@@ -2,12 +2,20 @@
 
 use crate::h1;
 use crate::h1::{body, head, socket};
-use futures_lite::AsyncReadExt;
+use futures_lite::AsyncRead;
+use futures_lite::future;
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::task::{Poll, ready};
 use tokio_util::bytes::{Bytes, BytesMut};
 
 /// Bytes asked from the kernel at once.
 const READ_BYTES: usize = 16 * 1024;
 
+thread_local! {
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
 /// Longest head of an answer, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
@@ -38,13 +46,21 @@
     }
 
     /// Reads more bytes; returns 0 if the peer closed.
+    ///
+    /// Bytes pass through one scratch buffer a thread, so that idle connections
+    /// hold no memory.
     async fn fill(&mut self) -> Result<usize, h1::ReadError> {
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_BYTES, 0);
-        let read = (&*self.socket).read(&mut self.buffer[start..]).await;
-        let count = *read.as_ref().unwrap_or(&0);
-        self.buffer.truncate(start + count);
-        Ok(read?)
+        let count = future::poll_fn(|cx| {
+            SCRATCH.with_borrow_mut(|scratch| {
+                let mut socket = &*self.socket;
+                let read = ready!(Pin::new(&mut socket).poll_read(cx, scratch));
+                if let Ok(count) = read {
+                    self.buffer.extend_from_slice(&scratch[..count]);
+                }
+                Poll::Ready(read)
+            })
+        });
+        Ok(count.await?)
     }
 
     /// Waits for the first byte of the next message.
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -333,6 +333,16 @@
     assert!(moved, "keys move within {:?}", driver.now - begun);
 }
 
+#[test]
+fn leaders_before_the_last_one_are_not_forgotten() {
+    let mut record = record_of_another(false);
+    record.predecessors = vec![node("gw-2", 1)];
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record));
+    let expected = [node("gw-2", 1), node("gw-1", 1)];
+    assert_eq!(driver.last_record().predecessors, expected);
+}
+
 #[test]
 fn a_silent_owner_waits_for_the_predecessor() {
     let mut driver = Driver::new("gw-0", 1);
