--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -18,13 +18,13 @@
 const SLOW_SHARE: f64 = 0.9;
 
 /// Factor on the cost of an upstream in another availability zone.
-const FAR_FACTOR: f64 = 1.3;
+const FAR_FACTOR: f64 = 1.7;
 
 /// Body size that raises [`FAR_FACTOR`] by 1, in bytes.
-const FAR_BODY_BYTES: f64 = 20_000.0;
+const FAR_BODY_BYTES: f64 = 10_000.0;
 
 /// Greatest factor on the cost of an upstream in another availability zone.
-const MAX_FAR_FACTOR: f64 = 4.0;
+const MAX_FAR_FACTOR: f64 = 8.0;
 
 /// Factor on the cost of an upstream that warms up.
 const WARMING_FACTOR: f64 = 2.0;
