Split the ownership core and the control thread by job

Change: events and actions in ownership/orders.rs; claims, plans and pushes of the core, and calls, peers and store of the control thread in modules of their own.

--- /dev/null
+++ b/src/fleet/control/peers.rs
@@ -0,0 +1,276 @@
+//! Messages between instances.
+
+use super::ControlThread;
+use crate::fleet::gossip;
+use crate::link;
+use crate::ownership::{load, orders};
+use async_io::{Async, Timer};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio_util::bytes::Bytes;
+
+/// Silence after which an instance is no longer counted.
+const INSTANCE_LIFE: Duration = Duration::from_millis(1500);
+
+/// Reports after which a leader tells its followers how many instances there are.
+const BEACON_REPORTS: u32 = 4;
+
+/// Interval of reports to leaders; hot keys must be seen within a second.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+
+impl ControlThread {
+    /// Carries an accepted record to the other instances without the store's delay.
+    pub(super) fn announce(self: &Rc<Self>, service: &str, announcement: &orders::Announcement) {
+        let value = Bytes::from(announcement.record.encode());
+        let (revision, step) = (announcement.revision, announcement.step);
+        let content = gossip::GossipContent::Record {
+            revision,
+            step,
+            value: value.clone(),
+        };
+        let frame = self.message(service, content).encode();
+        let addresses: Vec<SocketAddr> = {
+            let services = self.services.borrow();
+            let followers = services.get(service).map(|control| &control.followers);
+            let followers = followers.into_iter().flat_map(HashMap::values);
+            followers.map(|follower| follower.address).collect()
+        };
+        for address in addresses {
+            self.count_bytes(frame.len());
+            self.links.send(address, frame.clone());
+        }
+        self.take_record(service, (revision, step), value);
+    }
+
+    pub(super) fn take_record(self: &Rc<Self>, service: &str, order: (u64, u64), value: Bytes) {
+        let effect = self.mirror.borrow_mut().put_record(service, order, value);
+        if effect.view {
+            self.publish();
+        }
+    }
+
+    pub(super) async fn accept_links(this: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((io, sender)) => {
+                    let receiver = this.clone();
+                    this.spawn(async move {
+                        let take = |frame: &[u8]| receiver.take_message(frame, sender);
+                        if let Err(error) = link::receive_frames(io, take).await {
+                            log::debug!("link from {sender} ended: {error}; it is opened again");
+                        }
+                    });
+                }
+                Err(error) => {
+                    log::debug!("link not accepted: {error}; the next one follows");
+                    Timer::after(super::FIRST_STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn report(this: Rc<Self>) {
+        loop {
+            Timer::after(REPORT_INTERVAL).await;
+            for (service, tally) in this.context.take_tallies() {
+                if let Some(control) = this.services.borrow_mut().get_mut(&*service) {
+                    control.tally.merge(tally);
+                }
+            }
+            for name in this.names() {
+                this.report_service(&name);
+            }
+        }
+    }
+
+    pub(super) fn report_service(self: &Rc<Self>, service: &str) {
+        let (load, acting) = {
+            let mut services = self.services.borrow_mut();
+            let Some(control) = services.get_mut(service) else {
+                return;
+            };
+            let tally = std::mem::take(&mut control.tally);
+            (load::LoadReport::from(tally), control.core.is_leading())
+        };
+        if acting {
+            self.handle(service, orders::OwnershipEvent::Load(load));
+            self.count_instances(service);
+            return;
+        }
+        let leader = {
+            let mirror = self.mirror.borrow();
+            let record = mirror
+                .record(service)
+                .filter(|_| mirror.has_leader(service));
+            record.map(|record| record.leader.address)
+        };
+        if let Some(address) = leader {
+            self.send_report(service, address, acting, &load);
+        }
+    }
+
+    pub(super) fn send_report(
+        &self,
+        service: &str,
+        address: SocketAddr,
+        acting: bool,
+        report: &load::LoadReport,
+    ) {
+        for load in report.split(gossip::MAX_COUNTS) {
+            let content = gossip::GossipContent::Report { acting, load };
+            self.send_gossip(service, address, content);
+        }
+    }
+
+    pub(super) fn send_beacon(&self, service: &str, address: SocketAddr) {
+        let since = {
+            let services = self.services.borrow();
+            let control = services.get(service);
+            control.and_then(|control| control.core.leading_since())
+        };
+        if let Some(revision) = since {
+            let instances = self.instances.get() as u32;
+            let content = gossip::GossipContent::Beacon {
+                revision,
+                instances,
+            };
+            self.send_gossip(service, address, content);
+        }
+    }
+
+    pub(super) fn send_gossip(
+        &self,
+        service: &str,
+        address: SocketAddr,
+        content: gossip::GossipContent,
+    ) {
+        let datagram = self.message(service, content).encode();
+        self.count_bytes(datagram.len());
+        if let Err(error) = self.gossip.get_ref().send_to(&datagram, address) {
+            log::debug!("datagram to {address} not sent: {error}; it is repeated");
+        }
+    }
+
+    pub(super) fn message(
+        &self,
+        service: &str,
+        content: gossip::GossipContent,
+    ) -> gossip::GossipMessage {
+        gossip::GossipMessage {
+            service: service.to_owned(),
+            run: self.identity.node.run,
+            name: self.identity.node.name.clone(),
+            content,
+        }
+    }
+
+    pub(super) fn count_bytes(&self, bytes: usize) {
+        let counter = &self.context.metrics.control.control_bytes;
+        counter.add(bytes as u64, &[]);
+    }
+
+    pub(super) async fn receive_gossip(this: Rc<Self>) {
+        let mut buffer = vec![0; gossip::MAX_DATAGRAM_BYTES];
+        loop {
+            let (length, sender) = match this.gossip.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!("datagram not received: {error}; the next one follows");
+                    continue;
+                }
+            };
+            this.take_message(&buffer[..length], sender);
+        }
+    }
+
+    pub(super) fn take_message(self: &Rc<Self>, bytes: &[u8], sender: SocketAddr) {
+        match gossip::GossipMessage::decode(bytes) {
+            Ok(message) => self.on_gossip(message, sender),
+            Err(error) => log::debug!("message from {sender} dropped: {error}"),
+        }
+    }
+
+    pub(super) fn on_gossip(self: &Rc<Self>, message: gossip::GossipMessage, sender: SocketAddr) {
+        let service = message.service;
+        match message.content {
+            gossip::GossipContent::Report { acting, load } => {
+                self.note_follower(&service, &message.name, sender);
+                let (name, run) = (message.name, message.run);
+                self.handle(&service, orders::OwnershipEvent::Sign { name, run, acting });
+                if load != load::LoadReport::default() {
+                    self.handle(&service, orders::OwnershipEvent::Load(load));
+                }
+            }
+            gossip::GossipContent::Beacon {
+                revision,
+                instances,
+            } => {
+                self.handle(&service, orders::OwnershipEvent::Superseded { revision });
+                let acting = {
+                    let services = self.services.borrow();
+                    let control = services.get(&service);
+                    control.is_some_and(|control| control.core.is_leading())
+                };
+                if !acting {
+                    self.set_instances(instances as usize);
+                    self.send_report(&service, sender, acting, &load::LoadReport::default());
+                }
+            }
+            gossip::GossipContent::Record {
+                revision,
+                step,
+                value,
+            } => {
+                self.take_record(&service, (revision, step), value);
+            }
+        }
+    }
+
+    pub(super) fn note_follower(self: &Rc<Self>, service: &str, name: &str, sender: SocketAddr) {
+        let now = self.now();
+        let due = {
+            let mut services = self.services.borrow_mut();
+            let Some(control) = services.get_mut(service) else {
+                return;
+            };
+            if !control.core.is_leading() {
+                return;
+            }
+            let new = || super::Follower {
+                address: sender,
+                heard: now,
+                reports: 0,
+            };
+            let follower = control.followers.entry(name.to_owned()).or_insert_with(new);
+            follower.address = sender;
+            follower.heard = now;
+            follower.reports += 1;
+            follower.reports % BEACON_REPORTS == 1
+        };
+        if due {
+            self.send_beacon(service, sender);
+        }
+    }
+
+    pub(super) fn count_instances(&self, service: &str) {
+        let now = self.now();
+        let count = {
+            let mut services = self.services.borrow_mut();
+            let Some(control) = services.get_mut(service) else {
+                return;
+            };
+            let alive = |follower: &super::Follower| now < follower.heard + INSTANCE_LIFE;
+            control.followers.retain(|_, follower| alive(follower));
+            control.followers.len() + 1
+        };
+        self.set_instances(count);
+    }
+
+    pub(super) fn set_instances(&self, count: usize) {
+        if self.instances.replace(count) != count {
+            self.publish();
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/control/sync.rs
@@ -0,0 +1,187 @@
+//! The mirror of the store, and what follows from its changes.
+
+use super::ControlThread;
+use crate::fleet::{events, mirror};
+use crate::gateway::{context, view};
+use crate::ownership::{core, orders, owners};
+use crate::store;
+use async_io::Timer;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest pause after a failed call to the store.
+const MAX_STORE_PAUSE: Duration = Duration::from_millis(800);
+
+/// Wait of the watches that probe whether a lost store answers again.
+///
+/// A long one sent just before the store returns would be waited out in vain.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
+
+/// Pause between two watches, so that changes in quick succession cost one call.
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for which the store keeps a watch waiting.
+///
+/// Bounds the age of what is known if a connection falls silent.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
+
+impl ControlThread {
+    /// Keeps the mirror up to date.
+    pub(super) async fn follow_store(this: Rc<Self>) {
+        let mut lost_since: Option<Duration> = None;
+        let mut pause = super::FIRST_STORE_PAUSE;
+        let mut listed = false;
+        loop {
+            let result = match listed {
+                true => this.watch_once(lost_since.is_some()).await,
+                false => this.list_once(lost_since.is_some()).await,
+            };
+            match result {
+                Ok(()) => {
+                    listed = true;
+                    pause = super::FIRST_STORE_PAUSE;
+                    if let Some(since) = lost_since.take() {
+                        this.note_regained(since);
+                    }
+                    Timer::after(WATCH_PAUSE).await;
+                }
+                Err(store::StoreError::Compacted) => listed = false,
+                Err(error) => {
+                    if lost_since.is_none() {
+                        lost_since = Some(this.now());
+                        this.note_lost(&error);
+                    }
+                    Timer::after(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+                    pause = (pause * 2).min(MAX_STORE_PAUSE);
+                }
+            }
+        }
+    }
+
+    pub(super) fn note_lost(&self, error: &store::StoreError) {
+        self.context.log.emit(&events::StoreLost {
+            error: error.to_string(),
+            as_of: self.mirror.borrow().as_of(),
+        });
+    }
+
+    pub(super) fn note_regained(&self, since: Duration) {
+        let now = self.now();
+        self.context.log.emit(&events::StoreRegained {
+            after_ms: now.saturating_sub(since).as_millis() as u64,
+            as_of: self.mirror.borrow().as_of(),
+        });
+    }
+
+    pub(super) async fn list_once(self: &Rc<Self>, lost: bool) -> Result<(), store::StoreError> {
+        let listing = self.store.list().await?;
+        let now = self.now();
+        let effect = {
+            let mut mirror = self.mirror.borrow_mut();
+            if lost {
+                mirror.directory.regained(now);
+            }
+            mirror.apply_listing(now, listing)
+        };
+        self.react(effect);
+        Ok(())
+    }
+
+    pub(super) async fn watch_once(self: &Rc<Self>, lost: bool) -> Result<(), store::StoreError> {
+        let after = self.mirror.borrow().as_of();
+        let wait = if lost { PROBE_WAIT } else { WATCH_WAIT };
+        let batch = self.store.watch(after, wait).await?;
+        let now = self.now();
+        let effect = {
+            let mut mirror = self.mirror.borrow_mut();
+            if lost {
+                mirror.directory.regained(now);
+            }
+            mirror.apply_batch(now, batch)
+        };
+        self.react(effect);
+        Ok(())
+    }
+
+    /// Carries a change of the mirror to the cores and the traffic threads.
+    pub(super) fn react(self: &Rc<Self>, effect: mirror::MirrorEffect) {
+        if effect.ownership {
+            self.sync_services();
+        }
+        if effect.view {
+            self.publish();
+        }
+    }
+
+    pub(super) fn sync_services(self: &Rc<Self>) {
+        let keyed = {
+            let mirror = self.mirror.borrow();
+            let services = mirror
+                .config
+                .iter()
+                .flat_map(|config| config.services.values());
+            let keyed = services.filter_map(|spec| {
+                let space = spec.key_space?;
+                Some((spec.name.to_string(), space))
+            });
+            keyed.collect::<Vec<_>>()
+        };
+        for (name, space) in keyed {
+            let new = || super::ServiceControl {
+                core: core::OwnershipCore::new(
+                    self.identity.node.clone(),
+                    orders::OwnershipSettings {
+                        last_key: space.last,
+                        max_hold: self.identity.max_hold,
+                    },
+                ),
+                followers: HashMap::new(),
+                tally: context::LoadTally::default(),
+            };
+            self.services
+                .borrow_mut()
+                .entry(name.clone())
+                .or_insert_with(new);
+            let (candidates, view) = {
+                let mirror = self.mirror.borrow();
+                let known = mirror.directory.iter();
+                let known = known.filter(|known| *known.entry.service == *name);
+                let candidates = known.map(owners::OwnerCandidate::from).collect();
+                (candidates, mirror.store_view(&name))
+            };
+            let candidates = owners::CandidateTable::new(candidates);
+            self.handle(&name, orders::OwnershipEvent::Candidates(candidates));
+            self.handle(&name, orders::OwnershipEvent::Seen(view));
+        }
+    }
+
+    /// Publishes what the traffic threads need.
+    pub(super) fn publish(&self) {
+        let mirror = self.mirror.borrow();
+        let mut services = HashMap::new();
+        for spec in mirror
+            .config
+            .iter()
+            .flat_map(|config| config.services.values())
+        {
+            let known = mirror.directory.iter();
+            let known = known.filter(|known| known.entry.service == spec.name);
+            let upstreams = known
+                .map(|known| Arc::new(view::UpstreamView::new(known, &self.identity.zone)))
+                .collect();
+            let service = view::ServiceView {
+                spec: spec.clone(),
+                upstreams,
+                owners: mirror.record(&spec.name).cloned(),
+            };
+            services.insert(spec.name.clone(), Arc::new(service));
+        }
+        self.context.publish(view::GatewayView {
+            config: mirror.config.clone(),
+            services,
+            instances: self.instances.get(),
+        });
+    }
+}
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -8,7 +8,7 @@
 use crate::event_log;
 use crate::fleet::{events, ports};
 use crate::ids;
-use crate::ownership::{core, record};
+use crate::ownership::{orders, record};
 use crate::routing;
 use crate::store;
 use serde::{Deserialize, Serialize};
@@ -63,7 +63,7 @@
     as_of: u64,
     pub config: Option<Arc<routing::RoutingConfig>>,
     pub directory: directory::UpstreamDirectory,
-    leaders: HashMap<String, core::LeaderView>,
+    leaders: HashMap<String, orders::LeaderView>,
     /// Stored ownership records and their revisions.
     records: HashMap<String, (Arc<record::OwnershipRecord>, u64)>,
     /// Newest ownership records, stored or announced.
@@ -105,9 +105,9 @@
     }
 
     /// Returns what the store holds about the ownership of a service.
-    pub fn store_view(&self, service: &str) -> core::StoreView {
+    pub fn store_view(&self, service: &str) -> orders::StoreView {
         let record = self.records.get(&record_key(service));
-        core::StoreView {
+        orders::StoreView {
             leader: self.leaders.get(&leader_key(service)).cloned(),
             record: record.map(|(record, revision)| ((**record).clone(), *revision)),
             as_of: self.as_of,
@@ -236,7 +236,7 @@
         if item.key.starts_with("godwitloom/leader/") {
             match serde_json::from_slice::<LeaderValue>(&item.value) {
                 Ok(value) => {
-                    let leader = core::LeaderView {
+                    let leader = orders::LeaderView {
                         run: value.run,
                         name: value.name,
                         revision: item.revision,
--- a/src/fleet/ports.rs
+++ b/src/fleet/ports.rs
@@ -1,7 +1,7 @@
 //! Ports of the control side.
 
 use crate::directory;
-use crate::ownership::core;
+use crate::ownership::orders;
 use crate::routing;
 use crate::store;
 use std::rc::Rc;
@@ -41,13 +41,13 @@
     /// Grants or renews a range, unless `guard` denies it when the call is sent.
     fn grant<'a>(
         &'a self,
-        command: &'a core::GrantCommand,
+        command: &'a orders::GrantCommand,
         guard: CallGuard,
-    ) -> store::PortFuture<'a, core::GrantResult>;
+    ) -> store::PortFuture<'a, orders::GrantResult>;
 
     /// Takes a range back.
     fn release<'a>(
         &'a self,
-        command: &'a core::ReleaseCommand,
-    ) -> store::PortFuture<'a, core::ReleaseResult>;
+        command: &'a orders::ReleaseCommand,
+    ) -> store::PortFuture<'a, orders::ReleaseResult>;
 }
--- /dev/null
+++ b/src/ownership/core/plan.rs
@@ -0,0 +1,309 @@
+//! Plans: who owns what next, and its write to the store.
+
+use super::OwnershipCore;
+use crate::ids;
+use crate::ownership::{holding, leveling, load, orders, record, term};
+use crate::range;
+use std::time::Duration;
+
+/// Time for which the set of upstreams must rest before the first division.
+const FIRST_REST: Duration = Duration::from_millis(700);
+
+/// Time for which an upstream that could not be reached gets no keys.
+const SUSPECT_TIME: Duration = Duration::from_secs(4);
+
+/// Time after a move before a range is joined with its neighbour.
+const MERGE_REST: Duration = Duration::from_secs(3);
+
+/// Time after which acknowledged grants are stored if nothing else is written.
+///
+/// Until then they are only announced; a new leader would repeat them.
+const SETTLE_DELAY: Duration = Duration::from_millis(1500);
+
+impl OwnershipCore {
+    pub(super) fn commit(&mut self, now: Duration, actions: &mut Vec<orders::OwnershipAction>) {
+        let record_revision = self.record_revision();
+        let pending = match &self.state {
+            term::TermState::Leading(term) => term.commit.is_some(),
+            _ => return,
+        };
+        if !pending {
+            let next = self.plan(now);
+            let Some(term) = self.term_mut() else { return };
+            term.commit = next;
+        }
+        let Some(term) = self.term_mut() else { return };
+        let leader_revision = term.revision;
+        let Some(pending) = &mut term.commit else {
+            return;
+        };
+        if pending.in_flight || now < pending.retry_at {
+            return;
+        }
+        pending.in_flight = true;
+        actions.push(orders::OwnershipAction::Commit(Box::new(
+            orders::CommitOrder {
+                leader_revision,
+                record_revision,
+                claim: None,
+                resign: pending.resigns,
+                record: pending.record.clone(),
+            },
+        )));
+    }
+
+    /// Decides what to write next.
+    pub(super) fn plan(&mut self, now: Duration) -> Option<term::PendingCommit> {
+        let busy = self.holdings.iter().any(holding::LiveHolding::is_busy);
+        if self.stopping {
+            return (!busy).then(|| self.pending(now, self.holdings.clone(), true));
+        }
+        let mut holdings = self.holdings.clone();
+        let mut changed =
+            self.divide_first(now, &mut holdings) || self.reassign(now, &mut holdings);
+        let due = |since: Duration| now >= since + SETTLE_DELAY;
+        let due = self.dirty_since.is_some_and(due);
+        if changed || due {
+            changed |= merge_neighbours(now, &mut holdings);
+        }
+        if changed {
+            self.mark_changes(&holdings);
+        }
+        (changed || due).then(|| self.pending(now, holdings, false))
+    }
+
+    /// Stops renewals of ranges that the planned holdings take from their owner.
+    pub(super) fn mark_changes(&mut self, planned: &[holding::LiveHolding]) {
+        for live in &mut self.holdings {
+            let overlapping = planned
+                .iter()
+                .filter(|other| other.range.overlaps(&live.range));
+            let mut taken = overlapping.filter(|other| other.owner != live.owner);
+            live.changing = taken.next().is_some();
+        }
+    }
+
+    pub(super) fn pending(
+        &mut self,
+        now: Duration,
+        holdings: Vec<holding::LiveHolding>,
+        resigns: bool,
+    ) -> term::PendingCommit {
+        let attempt = self.next_attempt();
+        self.dirty_since = None;
+        self.collect_owners(&holdings);
+        let alone = self.sole_floor().is_some_and(|floor| now >= floor);
+        let clean = alone && holdings.iter().all(|live| self.is_clean(now, live));
+        let record = record::OwnershipRecord {
+            attempt,
+            leader: self.me.clone(),
+            resigned: resigns && clean,
+            predecessors: self.predecessor_nodes(),
+            hold_ms: self.hold_for(holdings.len()).as_millis() as u64,
+            next_fence: self.next_fence,
+            owners: self.owners.clone(),
+            holdings: holdings
+                .iter()
+                .map(holding::LiveHolding::to_record)
+                .collect(),
+        };
+        term::PendingCommit {
+            record,
+            holdings,
+            in_flight: false,
+            retry_at: now,
+            resigns,
+        }
+    }
+
+    pub(super) fn predecessor_nodes(&self) -> Vec<record::NodeInfo> {
+        match &self.state {
+            term::TermState::Leading(term) => {
+                let states = term.predecessors.iter();
+                states.map(|state| state.node.clone()).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns whether no grant for the range can still arrive late.
+    pub(super) fn is_clean(&self, now: Duration, live: &holding::LiveHolding) -> bool {
+        let over = |sent: Duration| now >= sent + holding::hold_bound(self.longest_hold);
+        let former_clean = |former: &holding::LiveFormer| former.unanswered.is_none_or(over);
+        live.unanswered.is_none_or(over) && live.formers.iter().all(former_clean)
+    }
+
+    /// Keeps the addresses of all upstreams that the holdings name.
+    pub(super) fn collect_owners(&mut self, holdings: &[holding::LiveHolding]) {
+        let mut keys: Vec<ids::UpstreamKey> = Vec::new();
+        for live in holdings {
+            keys.push(live.owner);
+            keys.extend(live.formers.iter().map(|former| former.former.key));
+        }
+        keys.sort_unstable();
+        keys.dedup();
+        let infos = keys.into_iter().filter_map(|key| self.owner_info(key));
+        self.owners = infos.collect();
+    }
+
+    /// Divides the whole space among the first upstreams.
+    pub(super) fn divide_first(
+        &mut self,
+        now: Duration,
+        holdings: &mut Vec<holding::LiveHolding>,
+    ) -> bool {
+        let rested = now >= self.candidates_at + FIRST_REST;
+        let mut keys: Vec<_> = self.candidates.usable().map(|c| c.info.key).collect();
+        if !holdings.is_empty() || keys.is_empty() || !rested {
+            return false;
+        }
+        keys.sort_unstable();
+        let ranges = range::KeyRange::divide(self.settings.last_key, keys.len());
+        for (range, owner) in ranges.into_iter().zip(keys) {
+            let fence = self.take_fence();
+            holdings.push(holding::LiveHolding::first(now, range, owner, fence));
+            self.notes.push(orders::OwnershipNote::Moving {
+                range,
+                from: None,
+                to: owner,
+                fence,
+                reason: "first division",
+            });
+        }
+        true
+    }
+
+    pub(super) fn take_fence(&mut self) -> u64 {
+        self.next_fence += 1;
+        self.next_fence - 1
+    }
+
+    /// Moves ranges off lost, leaving and overloaded owners.
+    pub(super) fn reassign(
+        &mut self,
+        now: Duration,
+        holdings: &mut Vec<holding::LiveHolding>,
+    ) -> bool {
+        self.load.decay(now);
+        let mut candidates = self.candidates.clone();
+        self.suspects.retain(|_, until| now < *until);
+        candidates.exclude(|key| self.suspects.contains_key(&key));
+        let capacities = candidates.usable().map(|found| {
+            let key = found.info.key;
+            let latency = self.latency.latency(key).as_secs_f32();
+            let span = load::LoadMap::span().as_secs_f32();
+            leveling::OwnerCapacity {
+                key,
+                capacity: found.capacity(now) / self.latency.slowness(key),
+                use_per_count: latency / span / found.slots.max(1) as f32,
+            }
+        });
+        let mut ledger = leveling::LoadLedger::new(capacities, holdings, &self.load);
+        let mut moves = Vec::new();
+        let floor = self.sole_floor();
+        let first_fence = self.first_fence();
+        let movable = |live: &&holding::LiveHolding| {
+            !live.is_busy() && (floor.is_some() || live.is_fenced(first_fence))
+        };
+        for live in holdings.iter().filter(movable) {
+            let floor = match live.is_fenced(first_fence) {
+                true => Duration::ZERO,
+                false => floor.unwrap_or(Duration::MAX),
+            };
+            let owner = self.candidates.get(live.owner);
+            let gone = owner.is_none_or(|owner| owner.draining);
+            let lapsed = live.is_failing() && live.is_lapsed(now, floor, self.longest_hold);
+            if lapsed {
+                self.suspects.insert(live.owner, now + SUSPECT_TIME);
+                ledger.remove(live.owner);
+            }
+            if gone || lapsed {
+                let parts = leveling::replace_owner(&mut ledger, &self.load, &live.range);
+                let reason = match (owner, lapsed) {
+                    (None, _) => "owner is gone",
+                    (Some(_), true) => "owner cannot be reached",
+                    (Some(_), false) => "owner is draining",
+                };
+                moves.extend(parts.into_iter().map(|part| (part, reason)));
+            }
+        }
+        if moves.is_empty() && now >= self.leveled_at + leveling::LEVEL_INTERVAL {
+            self.leveled_at = now;
+            let parts: Vec<_> = holdings.iter().filter(movable).cloned().collect();
+            let level = leveling::level(now, &parts, &mut ledger, &self.load);
+            moves.extend(level.into_iter().map(|part| (part, "load")));
+        }
+        let mut changed = false;
+        for (part, reason) in moves {
+            changed |= self.apply_move(now, holdings, part, reason);
+        }
+        changed
+    }
+
+    /// Cuts the moved part out of its holding and gives it its new owner.
+    pub(super) fn apply_move(
+        &mut self,
+        now: Duration,
+        holdings: &mut Vec<holding::LiveHolding>,
+        part: leveling::RangeMove,
+        reason: &'static str,
+    ) -> bool {
+        let covers = |live: &holding::LiveHolding| {
+            live.range.first <= part.range.first && part.range.last <= live.range.last
+        };
+        let Some(index) = holdings.iter().position(covers) else {
+            return false;
+        };
+        let live = holdings[index].clone();
+        if live.owner == part.to {
+            return false;
+        }
+        let fence = self.take_fence();
+        let mut pieces = Vec::new();
+        if live.range.first < part.range.first {
+            pieces.push(live.part(range::KeyRange {
+                first: live.range.first,
+                last: part.range.first - 1,
+            }));
+        }
+        let first_fence = self.first_fence();
+        let moved = live.part(part.range);
+        pieces.push(moved.moved(now, part.to, fence, first_fence));
+        if part.range.last < live.range.last {
+            pieces.push(live.part(range::KeyRange {
+                first: part.range.last + 1,
+                last: live.range.last,
+            }));
+        }
+        holdings.splice(index..=index, pieces);
+        self.notes.push(orders::OwnershipNote::Moving {
+            range: part.range,
+            from: Some(live.owner),
+            to: part.to,
+            fence,
+            reason,
+        });
+        true
+    }
+}
+
+/// Joins neighbouring ranges with the same owner, so that fewer calls renew them.
+fn merge_neighbours(now: Duration, holdings: &mut Vec<holding::LiveHolding>) -> bool {
+    let before = holdings.len();
+    let mut merged: Vec<holding::LiveHolding> = Vec::with_capacity(before);
+    for live in holdings.drain(..) {
+        match merged.last_mut() {
+            Some(last) if is_mergeable(now, last, &live) => *last = last.merged(now, &live),
+            _ => merged.push(live),
+        }
+    }
+    *holdings = merged;
+    holdings.len() < before
+}
+
+fn is_mergeable(now: Duration, one: &holding::LiveHolding, other: &holding::LiveHolding) -> bool {
+    let rested = |live: &holding::LiveHolding| {
+        live.is_settled() && !live.is_busy() && now >= live.since + MERGE_REST
+    };
+    one.owner == other.owner && rested(one) && rested(other)
+}
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -22,6 +22,7 @@
 pub mod holding;
 pub mod leveling;
 pub mod load;
+pub mod orders;
 pub mod owners;
 pub mod record;
 pub mod term;
--- /dev/null
+++ b/src/ownership/orders.rs
@@ -0,0 +1,215 @@
+//! What the ownership core takes in and asks for.
+
+use crate::ids;
+use crate::ownership::{holding, load, owners, record};
+use crate::range;
+use std::time::Duration;
+
+/// Settings of one service's ownership.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnershipSettings {
+    /// Greatest key.
+    pub last_key: u64,
+    /// Longest hold that upstreams accept.
+    pub max_hold: Duration,
+}
+
+/// Leader's key in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeaderView {
+    pub run: ids::InstanceKey,
+    /// Name of the instance, the same for all its runs.
+    pub name: String,
+    /// Revision of the key.
+    pub revision: u64,
+}
+
+/// What the metadata store holds, as far as this instance has seen.
+#[derive(Clone, Debug, Default)]
+pub struct StoreView {
+    /// Who leads, as its key in the store says.
+    pub leader: Option<LeaderView>,
+    /// Ownership record and its revision.
+    pub record: Option<(record::OwnershipRecord, u64)>,
+    /// Revision up to which the store was seen.
+    pub as_of: u64,
+}
+
+/// Result of a write to the store.
+#[derive(Clone, Debug)]
+pub enum CommitResult {
+    Committed {
+        revision: u64,
+    },
+    /// The condition did not hold; the record as it is now.
+    Conflict(Option<(Box<record::OwnershipRecord>, u64)>),
+    LeaseEnded,
+    /// Refused before anything was done.
+    Refused,
+    /// The write may have taken effect or may still do so.
+    Unknown,
+}
+
+/// Result of a grant call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GrantResult {
+    Granted,
+    /// The upstream has seen a higher fence number.
+    Fenced,
+    /// The upstream may have taken the grant.
+    Unanswered,
+    /// The call did not reach the upstream.
+    Unsent,
+}
+
+/// Result of a release call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReleaseResult {
+    Released(Option<String>),
+    Unanswered,
+    /// Nothing listens at the upstream's address.
+    ConnectionRefused,
+}
+
+/// Input of the core.
+#[derive(Clone, Debug)]
+pub enum OwnershipEvent {
+    Seen(StoreView),
+    Candidates(owners::CandidateTable),
+    Load(load::LoadReport),
+    LeaseOpened {
+        sent: Duration,
+        lease: Option<u64>,
+    },
+    LeaseKept {
+        sent: Duration,
+        /// `None` if the call brought no answer.
+        alive: Option<bool>,
+    },
+    Committed(CommitResult),
+    Granted {
+        range: range::KeyRange,
+        owner: ids::UpstreamKey,
+        fence: u64,
+        sent: Duration,
+        result: GrantResult,
+    },
+    Released {
+        range: range::KeyRange,
+        former: record::FormerOwner,
+        result: ReleaseResult,
+    },
+    /// Sign of life of an instance, with whether it still leads the service.
+    Sign {
+        name: String,
+        run: ids::InstanceKey,
+        acting: bool,
+    },
+    /// Another instance leads since a revision.
+    Superseded {
+        revision: u64,
+    },
+    /// The instance stops.
+    Stop,
+    Tick,
+}
+
+/// Write to the store that the core asks for.
+#[derive(Clone, Debug)]
+pub struct CommitOrder {
+    /// Revision of the leader's key that must still hold; 0 if there must be none.
+    pub leader_revision: u64,
+    /// Revision of the record that must still hold; 0 creates it.
+    pub record_revision: u64,
+    /// Lease under which the leader's key is written.
+    pub claim: Option<u64>,
+    /// Whether the leader's key is deleted.
+    pub resign: bool,
+    pub record: record::OwnershipRecord,
+}
+
+/// Grant that the core asks for.
+#[derive(Clone, Debug)]
+pub struct GrantCommand {
+    pub owner: record::OwnerInfo,
+    pub range: range::KeyRange,
+    pub fence: u64,
+    pub hold: Duration,
+    pub handover: Option<String>,
+    /// When the core decided; the call is void if it cannot be sent soon after.
+    pub sent: Duration,
+}
+
+/// Release that the core asks for.
+#[derive(Clone, Debug)]
+pub struct ReleaseCommand {
+    pub owner: record::OwnerInfo,
+    pub range: range::KeyRange,
+    pub former: record::FormerOwner,
+}
+
+/// What the other instances are told without the store's delay.
+#[derive(Clone, Debug)]
+pub struct Announcement {
+    /// The stored record with what was acknowledged since.
+    pub record: record::OwnershipRecord,
+    /// Revision of the stored record.
+    pub revision: u64,
+    /// Order among the announcements of one revision; the store's own has 0.
+    pub step: u64,
+}
+
+/// Output of the core.
+#[derive(Clone, Debug)]
+pub enum OwnershipAction {
+    OpenLease {
+        ttl: Duration,
+    },
+    KeepLease {
+        lease: u64,
+    },
+    Commit(Box<CommitOrder>),
+    Grant(GrantCommand),
+    Release(ReleaseCommand),
+    /// Asks a predecessor whether it still acts.
+    Challenge(record::NodeInfo),
+    /// Tells the other instances what the store has accepted.
+    Announce(Box<Announcement>),
+    Event(OwnershipNote),
+}
+
+/// Decision worth a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OwnershipNote {
+    Leading {
+        revision: u64,
+        predecessors: Vec<String>,
+    },
+    PredecessorEnded {
+        name: String,
+    },
+    StoppedLeading {
+        reason: &'static str,
+    },
+    Moving {
+        range: range::KeyRange,
+        from: Option<ids::UpstreamKey>,
+        to: ids::UpstreamKey,
+        fence: u64,
+        reason: &'static str,
+    },
+    FormerCleared {
+        range: range::KeyRange,
+        former: ids::UpstreamKey,
+        proof: holding::FormerState,
+    },
+    OwnerGranted {
+        range: range::KeyRange,
+        owner: ids::UpstreamKey,
+        fence: u64,
+    },
+    OwnerLapsed {
+        range: range::KeyRange,
+        owner: ids::UpstreamKey,
+    },
+}
--- a/standins/src/grants/store.rs
+++ b/standins/src/grants/store.rs
@@ -1,7 +1,7 @@
 //! Fake metadata store: leader's key, record and leases of one service.
 
 use godwitloom::ids;
-use godwitloom::ownership::{core, record};
+use godwitloom::ownership::{orders, record};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 
 #[derive(Debug)]
 struct StoredLeader {
-    view: core::LeaderView,
+    view: orders::LeaderView,
     lease: u64,
 }
 
@@ -47,8 +47,8 @@
     }
 
     /// Returns what a watch shows.
-    pub fn view(&self) -> core::StoreView {
-        core::StoreView {
+    pub fn view(&self) -> orders::StoreView {
+        orders::StoreView {
             leader: self.leader.as_ref().map(|leader| leader.view.clone()),
             record: self.record.clone(),
             as_of: self.revision + 1,
@@ -79,8 +79,8 @@
         &mut self,
         now: Duration,
         run: ids::InstanceKey,
-        order: &core::CommitOrder,
-    ) -> core::CommitResult {
+        order: &orders::CommitOrder,
+    ) -> orders::CommitResult {
         self.expire(now);
         let leader = self
             .leader
@@ -89,7 +89,7 @@
         let record = self.record.as_ref().map_or(0, |(_, revision)| *revision);
         if (leader, record) != (order.leader_revision, order.record_revision) {
             let stored = self.record.clone();
-            return core::CommitResult::Conflict(
+            return orders::CommitResult::Conflict(
                 stored.map(|(record, revision)| (Box::new(record), revision)),
             );
         }
@@ -97,14 +97,14 @@
             .claim
             .is_some_and(|lease| !self.leases.contains_key(&lease))
         {
-            return core::CommitResult::LeaseEnded;
+            return orders::CommitResult::LeaseEnded;
         }
         self.revision += 2;
         let revision = self.revision;
         self.record = Some((order.record.clone(), revision));
         if let Some(lease) = order.claim {
             let name = order.record.leader.name.clone();
-            let view = core::LeaderView {
+            let view = orders::LeaderView {
                 run,
                 name,
                 revision,
@@ -114,6 +114,6 @@
         if order.resign {
             self.leader = None;
         }
-        core::CommitResult::Committed { revision }
+        orders::CommitResult::Committed { revision }
     }
 }
--- a/standins/src/grants/world.rs
+++ b/standins/src/grants/world.rs
@@ -5,7 +5,7 @@
 pub use super::store::GrantStoreMode;
 use godwitloom::directory;
 use godwitloom::ids;
-use godwitloom::ownership::{core, holding, load, owners, record};
+use godwitloom::ownership::{core, holding, load, orders, owners, record};
 use godwitloom::range;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -46,7 +46,7 @@
     frozen: bool,
     reaches_store: bool,
     /// Events that arrived while the process stood still.
-    backlog: Vec<core::OwnershipEvent>,
+    backlog: Vec<orders::OwnershipEvent>,
 }
 
 #[derive(Debug)]
@@ -54,21 +54,21 @@
     Tick(usize),
     Sign(usize),
     /// An event reaches an instance, if the run it is for still lives.
-    Event(usize, ids::InstanceKey, Box<core::OwnershipEvent>),
+    Event(usize, ids::InstanceKey, Box<orders::OwnershipEvent>),
     Store(usize, ids::InstanceKey, Box<StoreCall>),
-    Grant(usize, ids::InstanceKey, Box<core::GrantCommand>),
-    Release(usize, ids::InstanceKey, Box<core::ReleaseCommand>),
+    Grant(usize, ids::InstanceKey, Box<orders::GrantCommand>),
+    Release(usize, ids::InstanceKey, Box<orders::ReleaseCommand>),
     /// A grant that was held back is carried out.
-    LateGrant(Box<core::GrantCommand>, Duration),
+    LateGrant(Box<orders::GrantCommand>, Duration),
     /// A write that was held back is carried out.
-    LateCommit(ids::InstanceKey, Box<core::CommitOrder>),
+    LateCommit(ids::InstanceKey, Box<orders::CommitOrder>),
 }
 
 #[derive(Debug)]
 enum StoreCall {
     Open(Duration),
     Keep(u64, Duration),
-    Commit(Box<core::CommitOrder>),
+    Commit(Box<orders::CommitOrder>),
 }
 
 /// Fake site of one service with owned keys.
@@ -147,7 +147,7 @@
         };
         instance.core = Some(core::OwnershipCore::new(
             node,
-            core::OwnershipSettings {
+            orders::OwnershipSettings {
                 last_key: KEYS - 1,
                 max_hold: Duration::from_secs(10),
             },
@@ -182,7 +182,7 @@
 
     /// Asks an instance to stop gracefully.
     pub fn stop(&mut self, index: usize) {
-        self.deliver(index, core::OwnershipEvent::Stop);
+        self.deliver(index, orders::OwnershipEvent::Stop);
     }
 
     /// Cuts an instance off the store, or ends the cut.
@@ -312,7 +312,7 @@
             Happening::Tick(index) => {
                 self.plan(TICK, Happening::Tick(index));
                 if !self.instances[index].frozen {
-                    self.feed(index, core::OwnershipEvent::Tick);
+                    self.feed(index, orders::OwnershipEvent::Tick);
                 }
             }
             Happening::Sign(index) => self.sign(index),
@@ -331,14 +331,14 @@
         }
     }
 
-    fn deliver(&mut self, index: usize, event: core::OwnershipEvent) {
+    fn deliver(&mut self, index: usize, event: orders::OwnershipEvent) {
         match self.instances[index].frozen {
             true => self.instances[index].backlog.push(event),
             false => self.feed(index, event),
         }
     }
 
-    fn feed(&mut self, index: usize, event: core::OwnershipEvent) {
+    fn feed(&mut self, index: usize, event: orders::OwnershipEvent) {
         let now = self.now;
         let Some(core) = &mut self.instances[index].core else {
             return;
@@ -349,38 +349,38 @@
         }
     }
 
-    fn perform(&mut self, index: usize, action: core::OwnershipAction) {
+    fn perform(&mut self, index: usize, action: orders::OwnershipAction) {
         let run = self.instances[index].run;
         let latency = self.latency();
         match action {
-            core::OwnershipAction::OpenLease { ttl } => {
+            orders::OwnershipAction::OpenLease { ttl } => {
                 let call = Box::new(StoreCall::Open(ttl));
                 self.plan(latency, Happening::Store(index, run, call));
             }
-            core::OwnershipAction::KeepLease { lease } => {
+            orders::OwnershipAction::KeepLease { lease } => {
                 let call = Box::new(StoreCall::Keep(lease, self.now));
                 self.plan(latency, Happening::Store(index, run, call));
             }
-            core::OwnershipAction::Commit(order) => {
+            orders::OwnershipAction::Commit(order) => {
                 let call = Box::new(StoreCall::Commit(order));
                 self.plan(latency, Happening::Store(index, run, call));
             }
-            core::OwnershipAction::Grant(command) => {
+            orders::OwnershipAction::Grant(command) => {
                 self.plan(latency, Happening::Grant(index, run, Box::new(command)));
             }
-            core::OwnershipAction::Release(command) => {
+            orders::OwnershipAction::Release(command) => {
                 self.plan(latency, Happening::Release(index, run, Box::new(command)));
             }
-            core::OwnershipAction::Challenge(node) => self.challenge(index, &node),
-            core::OwnershipAction::Announce(_) => {}
-            core::OwnershipAction::Event(note) => {
+            orders::OwnershipAction::Challenge(node) => self.challenge(index, &node),
+            orders::OwnershipAction::Announce(_) => {}
+            orders::OwnershipAction::Event(note) => {
                 let name = &self.instances[index].name;
                 self.notes.push(format!("{:?} {name}: {note:?}", self.now));
             }
         }
     }
 
-    fn reply(&mut self, index: usize, run: ids::InstanceKey, event: core::OwnershipEvent) {
+    fn reply(&mut self, index: usize, run: ids::InstanceKey, event: orders::OwnershipEvent) {
         let latency = self.latency();
         self.plan(latency, Happening::Event(index, run, Box::new(event)));
     }
@@ -390,7 +390,7 @@
         index: usize,
         run: ids::InstanceKey,
         after: Duration,
-        event: core::OwnershipEvent,
+        event: orders::OwnershipEvent,
     ) {
         self.plan(after, Happening::Event(index, run, Box::new(event)));
     }
@@ -408,8 +408,8 @@
             StoreCall::Open(ttl) => {
                 let lease = done.then(|| self.store.open_lease(now, ttl));
                 (
-                    core::OwnershipEvent::LeaseOpened { sent: now, lease },
-                    core::OwnershipEvent::LeaseOpened {
+                    orders::OwnershipEvent::LeaseOpened { sent: now, lease },
+                    orders::OwnershipEvent::LeaseOpened {
                         sent: now,
                         lease: None,
                     },
@@ -418,25 +418,25 @@
             StoreCall::Keep(lease, sent) => {
                 let alive = done.then(|| self.store.keep_lease(now, lease));
                 (
-                    core::OwnershipEvent::LeaseKept { sent, alive },
-                    core::OwnershipEvent::LeaseKept { sent, alive: None },
+                    orders::OwnershipEvent::LeaseKept { sent, alive },
+                    orders::OwnershipEvent::LeaseKept { sent, alive: None },
                 )
             }
             StoreCall::Commit(order) => {
                 if mode == GrantStoreMode::LateWrites {
                     let late = Duration::from_millis(self.random.u64(1000..6000));
                     self.plan(late, Happening::LateCommit(run, order));
-                    let unknown = core::OwnershipEvent::Committed(core::CommitResult::Unknown);
+                    let unknown = orders::OwnershipEvent::Committed(orders::CommitResult::Unknown);
                     self.fail(index, run, STORE_TIMEOUT, unknown);
                     return;
                 }
                 let result = match done {
                     true => self.store.commit(now, run, &order),
-                    false => core::CommitResult::Unknown,
+                    false => orders::CommitResult::Unknown,
                 };
                 (
-                    core::OwnershipEvent::Committed(result),
-                    core::OwnershipEvent::Committed(core::CommitResult::Unknown),
+                    orders::OwnershipEvent::Committed(result),
+                    orders::OwnershipEvent::Committed(orders::CommitResult::Unknown),
                 )
             }
         };
@@ -451,8 +451,8 @@
         servers.position(|server| server.info.address == address)
     }
 
-    fn call_grant(&mut self, index: usize, run: ids::InstanceKey, command: core::GrantCommand) {
-        let granted = |result| core::OwnershipEvent::Granted {
+    fn call_grant(&mut self, index: usize, run: ids::InstanceKey, command: orders::GrantCommand) {
+        let granted = |result| orders::OwnershipEvent::Granted {
             range: command.range,
             owner: command.owner.key,
             fence: command.fence,
@@ -462,16 +462,16 @@
         let server = self.find_server(command.owner.address);
         let server = server.filter(|server| self.servers[*server].alive);
         let Some(server) = server else {
-            self.reply(index, run, granted(core::GrantResult::Unsent));
+            self.reply(index, run, granted(orders::GrantResult::Unsent));
             return;
         };
         if self.cut.contains(&(index, server)) {
-            let unsent = granted(core::GrantResult::Unsent);
+            let unsent = granted(orders::GrantResult::Unsent);
             self.fail(index, run, holding::GRANT_TIMEOUT, unsent);
             return;
         }
         if self.random.u32(0..100) < self.late_percent {
-            let unanswered = granted(core::GrantResult::Unanswered);
+            let unanswered = granted(orders::GrantResult::Unanswered);
             self.fail(index, run, holding::GRANT_TIMEOUT, unanswered);
             let late = Duration::from_millis(self.random.u64(LATE_MS));
             let arrived = self.now;
@@ -481,13 +481,13 @@
         let now = self.now;
         let taken = self.servers[server].grant(&command.range, command.fence, now, command.hold);
         let result = match taken {
-            true => core::GrantResult::Granted,
-            false => core::GrantResult::Fenced,
+            true => orders::GrantResult::Granted,
+            false => orders::GrantResult::Fenced,
         };
         self.reply(index, run, granted(result));
     }
 
-    fn carry_out(&mut self, command: &core::GrantCommand, arrived: Duration) {
+    fn carry_out(&mut self, command: &orders::GrantCommand, arrived: Duration) {
         let servers = self.servers.iter_mut();
         let mut same = servers.filter(|server| server.info.key == command.owner.key);
         if let Some(server) = same.next() {
@@ -495,25 +495,30 @@
         }
     }
 
-    fn call_release(&mut self, index: usize, run: ids::InstanceKey, command: core::ReleaseCommand) {
-        let released = |result| core::OwnershipEvent::Released {
+    fn call_release(
+        &mut self,
+        index: usize,
+        run: ids::InstanceKey,
+        command: orders::ReleaseCommand,
+    ) {
+        let released = |result| orders::OwnershipEvent::Released {
             range: command.range,
             former: command.former,
             result,
         };
         let server = self.find_server(command.owner.address);
         let Some(server) = server.filter(|server| self.servers[*server].alive) else {
-            let refused = released(core::ReleaseResult::ConnectionRefused);
+            let refused = released(orders::ReleaseResult::ConnectionRefused);
             self.reply(index, run, refused);
             return;
         };
         if self.cut.contains(&(index, server)) {
-            let unanswered = released(core::ReleaseResult::Unanswered);
+            let unanswered = released(orders::ReleaseResult::Unanswered);
             self.fail(index, run, holding::RELEASE_TIMEOUT, unanswered);
             return;
         }
         self.servers[server].release(&command.range);
-        self.reply(index, run, released(core::ReleaseResult::Released(None)));
+        self.reply(index, run, released(orders::ReleaseResult::Released(None)));
     }
 
     /// Shows an instance the store, and the leader the instance.
@@ -525,16 +530,16 @@
         }
         if instance.reaches_store && self.store.mode != GrantStoreMode::Down {
             let candidates = self.candidates();
-            self.feed(index, core::OwnershipEvent::Candidates(candidates));
+            self.feed(index, orders::OwnershipEvent::Candidates(candidates));
             let view = self.store.view();
-            self.feed(index, core::OwnershipEvent::Seen(view));
+            self.feed(index, orders::OwnershipEvent::Seen(view));
         }
         let instance = &self.instances[index];
         let acting = instance
             .core
             .as_ref()
             .is_some_and(core::OwnershipCore::is_leading);
-        let event = core::OwnershipEvent::Sign {
+        let event = orders::OwnershipEvent::Sign {
             name: instance.name.clone(),
             run: instance.run,
             acting,
@@ -545,7 +550,7 @@
             if leads.is_some_and(core::OwnershipCore::is_leading) {
                 let run = self.instances[leader].run;
                 self.reply(leader, run, event.clone());
-                self.reply(leader, run, core::OwnershipEvent::Load(counts.clone()));
+                self.reply(leader, run, orders::OwnershipEvent::Load(counts.clone()));
             }
         }
     }
@@ -596,13 +601,13 @@
         }) else {
             return;
         };
-        self.feed(other, core::OwnershipEvent::Superseded { revision });
+        self.feed(other, orders::OwnershipEvent::Superseded { revision });
         let instance = &self.instances[other];
         let acting = instance
             .core
             .as_ref()
             .is_some_and(core::OwnershipCore::is_leading);
-        let event = core::OwnershipEvent::Sign {
+        let event = orders::OwnershipEvent::Sign {
             name: instance.name.clone(),
             run: instance.run,
             acting,
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -1,9 +1,10 @@
 //! One leader's decisions, event by event.
 
 use godwitloom::ids;
-use godwitloom::ownership::core::{
+use godwitloom::ownership::core::OwnershipCore;
+use godwitloom::ownership::orders::{
     CommitOrder, CommitResult, GrantCommand, GrantResult, LeaderView, OwnershipAction,
-    OwnershipCore, OwnershipEvent, OwnershipSettings, ReleaseResult, StoreView,
+    OwnershipEvent, OwnershipSettings, ReleaseResult, StoreView,
 };
 use godwitloom::ownership::{load, owners, record, term};
 use std::net::SocketAddr;
