--- a/src/directory.rs
+++ b/src/directory.rs
@@ -5,6 +5,7 @@
 //! kept for [`RETURN_GRACE`]; otherwise it is gone at once.
 
 use crate::ids;
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -57,25 +58,32 @@
     pub warm_at: Duration,
 }
 
+/// What happened to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChangeKind {
+    Added,
+    Draining,
+    /// Its entry is gone after an outage; it may return.
+    Missing,
+    Returned,
+    Removed,
+}
+
 /// A change of the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum DirectoryChange {
-    Added(ids::UpstreamKey),
-    Draining(ids::UpstreamKey),
-    Missing(ids::UpstreamKey),
-    Returned(ids::UpstreamKey),
-    Removed(ids::UpstreamKey),
+pub struct DirectoryChange {
+    pub id: Arc<str>,
+    pub service: Arc<str>,
+    pub kind: ChangeKind,
 }
 
 impl DirectoryChange {
-    /// Returns the upstream and what happened to it.
-    pub fn describe(&self) -> (ids::UpstreamKey, &'static str) {
-        match self {
-            DirectoryChange::Added(key) => (*key, "added"),
-            DirectoryChange::Draining(key) => (*key, "draining"),
-            DirectoryChange::Missing(key) => (*key, "missing"),
-            DirectoryChange::Returned(key) => (*key, "returned"),
-            DirectoryChange::Removed(key) => (*key, "removed"),
+    fn new(entry: &UpstreamEntry, kind: ChangeKind) -> DirectoryChange {
+        DirectoryChange {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            kind,
         }
     }
 }
@@ -110,18 +118,18 @@
         match &known {
             None => {
                 if let Some(former) = self.upstreams.get(&entry.id) {
-                    changes.push(DirectoryChange::Removed(former.key));
+                    changes.push(DirectoryChange::new(&former.entry, ChangeKind::Removed));
                 }
-                changes.push(DirectoryChange::Added(key));
+                changes.push(DirectoryChange::new(&entry, ChangeKind::Added));
             }
             Some(known) if known.missing_since.is_some() => {
-                changes.push(DirectoryChange::Returned(key));
+                changes.push(DirectoryChange::new(&entry, ChangeKind::Returned));
             }
             Some(_) => {}
         }
         let draining_before = known.as_ref().and_then(|known| known.draining_since);
         if draining && draining_before.is_none() {
-            changes.push(DirectoryChange::Draining(key));
+            changes.push(DirectoryChange::new(&entry, ChangeKind::Draining));
         }
         let upstream = KnownUpstream {
             key,
@@ -143,7 +151,9 @@
             .collect();
         for id in replaced {
             let former = self.upstreams.remove(&id);
-            changes.extend(former.map(|former| DirectoryChange::Removed(former.key)));
+            changes.extend(
+                former.map(|former| DirectoryChange::new(&former.entry, ChangeKind::Removed)),
+            );
         }
         self.upstreams.insert(id, upstream);
         changes
@@ -157,10 +167,10 @@
         let known = self.upstreams.get_mut(id)?;
         if in_grace && known.draining_since.is_none() {
             known.missing_since.get_or_insert(now);
-            return Some(DirectoryChange::Missing(known.key));
+            return Some(DirectoryChange::new(&known.entry, ChangeKind::Missing));
         }
         let known = self.upstreams.remove(id)?;
-        Some(DirectoryChange::Removed(known.key))
+        Some(DirectoryChange::new(&known.entry, ChangeKind::Removed))
     }
 
     /// Removes the upstreams that are not in a complete listing.
@@ -194,7 +204,7 @@
         expired
             .iter()
             .filter_map(|id| self.upstreams.remove(id))
-            .map(|known| DirectoryChange::Removed(known.key))
+            .map(|known| DirectoryChange::new(&known.entry, ChangeKind::Removed))
             .collect()
     }
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -195,14 +195,14 @@
             orders::OwnershipAction::Announce(announcement) => {
                 self.announce(service, &announcement);
             }
-            orders::OwnershipAction::Event(note) => self.note(service, &note),
+            orders::OwnershipAction::Event(note) => self.note(service, note),
         }
     }
 
-    fn note(&self, service: &str, note: &orders::OwnershipNote) {
+    fn note(&self, service: &str, note: orders::OwnershipNote) {
         self.context.log.emit(&events::Ownership {
             service: service.to_owned(),
-            decision: format!("{note:?}"),
+            note,
         });
     }
 
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -1,14 +1,16 @@
 //! Log events of the control side.
 
+use crate::directory;
 use crate::event_log::{EventClass, LogEvent};
+use crate::ownership::orders;
 use serde::Serialize;
 
 macro_rules! state_event {
-    ($(#[$doc:meta])* $name:ident, $event:literal, { $($(#[$field_doc:meta])* $field:ident: $kind:ty),* $(,)? }) => {
+    ($(#[$doc:meta])* $name:ident, $event:literal, { $($(#[$field_meta:meta])* $field:ident: $kind:ty),* $(,)? }) => {
         $(#[$doc])*
         #[derive(Debug, Serialize)]
         pub struct $name {
-            $($(#[$field_doc])* pub $field: $kind),*
+            $($(#[$field_meta])* pub $field: $kind),*
         }
 
         impl LogEvent for $name {
@@ -56,9 +58,13 @@
 }
 state_event! {
     /// An upstream's entry changed what is believed of it.
-    UpstreamChanged, "upstream", { id: String, service: String, change: String, revision: u64 }
+    UpstreamChanged, "upstream", { id: String, service: String, change: directory::ChangeKind, revision: u64 }
 }
 state_event! {
     /// A decision about the ownership of keys.
-    Ownership, "ownership", { service: String, decision: String }
+    Ownership, "ownership", {
+        service: String,
+        #[serde(flatten)]
+        note: orders::OwnershipNote,
+    }
 }
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -300,13 +300,10 @@
     ) -> MirrorEffect {
         let changed = !changes.is_empty();
         for change in changes {
-            let (key, word) = change.describe();
-            let known = self.directory.iter().find(|known| known.key == key);
-            let entry = known.map(|known| &known.entry);
             self.log.emit(&events::UpstreamChanged {
-                id: entry.map_or_else(|| key.to_string(), |entry| entry.id.to_string()),
-                service: entry.map_or_else(String::new, |entry| entry.service.to_string()),
-                change: word.to_owned(),
+                id: change.id.to_string(),
+                service: change.service.to_string(),
+                change: change.kind,
                 revision,
             });
         }
--- a/src/ownership/holding.rs
+++ b/src/ownership/holding.rs
@@ -3,6 +3,7 @@
 use crate::ids;
 use crate::ownership::record;
 use crate::range;
+use serde::Serialize;
 use smallvec::SmallVec;
 use std::time::Duration;
 
@@ -30,7 +31,8 @@
 }
 
 /// Why an upstream is no longer waited for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum FormerState {
     /// It may hold the range.
     Holding,
--- a/src/ownership/orders.rs
+++ b/src/ownership/orders.rs
@@ -3,6 +3,7 @@
 use crate::ids;
 use crate::ownership::{holding, load, owners, record};
 use crate::range;
+use serde::Serialize;
 use std::time::Duration;
 
 /// Settings of one service's ownership.
@@ -178,8 +179,9 @@
     Event(OwnershipNote),
 }
 
-/// Decision worth a log line.
-#[derive(Clone, Debug, PartialEq)]
+/// Decision worth a log line; `decision` names it there.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "decision")]
 pub enum OwnershipNote {
     Leading {
         revision: u64,
