Add a time line over the logs of several processes

Cause: an engineer on call had to merge the logs of all instances by hand.

Change: godwitloom timeline merges logs and follows a request, key, upstream or version; entries of upstreams carry the key that ownership decisions name.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod gone;
 mod serve;
 mod status;
+mod timeline;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use godwitloom::{daemon, document, exchange, subtree};
@@ -33,6 +34,8 @@
     Call(#[from] exchange::CallError),
     #[error(transparent)]
     Subtree(#[from] subtree::SubtreeError),
+    #[error("output cannot be written: {0}; check where it goes")]
+    Output(std::io::Error),
     #[error("instance answered status {status}: {body}")]
     Refused { status: u16, body: String },
     #[error("instance's answer is not its status: {0}; run the same version on both ends")]
@@ -67,6 +70,7 @@
         .subcommand(config::command())
         .subcommand(status::command())
         .subcommand(gone::command())
+        .subcommand(timeline::command())
 }
 
 /// Runs the subcommand that was asked for.
@@ -77,6 +81,7 @@
         Some(("config", args)) => config::run(args),
         Some(("status", args)) => status::run(args),
         Some(("gone", args)) => gone::run(args),
+        Some(("timeline", args)) => timeline::run(args),
         _ => unreachable!("clap requires a known subcommand"),
     }
 }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -73,6 +73,7 @@
 /// A change of the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DirectoryChange {
+    pub key: ids::UpstreamKey,
     pub id: Arc<str>,
     pub service: Arc<str>,
     pub kind: ChangeKind,
@@ -81,6 +82,7 @@
 impl DirectoryChange {
     fn new(entry: &UpstreamEntry, kind: ChangeKind) -> DirectoryChange {
         DirectoryChange {
+            key: entry.key(),
             id: entry.id.clone(),
             service: entry.service.clone(),
             kind,
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -2,6 +2,7 @@
 
 use crate::directory;
 use crate::event_log::{EventClass, LogEvent};
+use crate::ids;
 use crate::ownership::orders;
 use serde::Serialize;
 
@@ -58,7 +59,7 @@
 }
 state_event! {
     /// An upstream's entry changed what is believed of it.
-    UpstreamChanged, "upstream", { id: String, service: String, change: directory::ChangeKind, revision: u64 }
+    UpstreamChanged, "upstream", { id: String, key: ids::UpstreamKey, service: String, change: directory::ChangeKind, revision: u64 }
 }
 state_event! {
     /// A decision about the ownership of keys.
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -302,6 +302,7 @@
         for change in changes {
             self.log.emit(&events::UpstreamChanged {
                 id: change.id.to_string(),
+                key: change.key,
                 service: change.service.to_string(),
                 change: change.kind,
                 revision,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod stream;
 pub mod subtree;
 mod teams;
+pub mod timeline;
 pub mod timer;
 pub mod traffic;
 pub mod upstream;
