--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -325,7 +325,8 @@
         self.keep_lease(now, actions);
         self.end_predecessors(now, actions);
         self.clear_formers(now);
-        if !self.is_resigning() && !self.stopping {
+        let resigns = self.stopping && self.may_resign(now);
+        if !self.is_resigning() && !resigns {
             self.push_grants(now, actions);
             self.push_releases(now, actions);
         }
--- a/src/ownership/core/claim.rs
+++ b/src/ownership/core/claim.rs
@@ -231,6 +231,16 @@
         }
     }
 
+    /// Returns whether the store seems able to take a resignation.
+    ///
+    /// Without it nobody could take over, and the owners' grants would run out.
+    pub(super) fn may_resign(&self, now: Duration) -> bool {
+        match &self.state {
+            term::TermState::Leading(term) => now < term.contact + term::KEEP_INTERVAL * 2,
+            _ => false,
+        }
+    }
+
     pub(super) fn end_predecessors(
         &mut self,
         now: Duration,
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -56,7 +56,8 @@
     pub(super) fn plan(&mut self, now: Duration) -> Option<term::PendingCommit> {
         let busy = self.holdings.iter().any(holding::LiveHolding::is_busy);
         if self.stopping {
-            return (!busy).then(|| self.pending(now, self.holdings.clone(), true));
+            let ready = !busy && self.may_resign(now);
+            return ready.then(|| self.pending(now, self.holdings.clone(), true));
         }
         let mut holdings = self.holdings.clone();
         let mut changed =
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -467,6 +467,28 @@
     assert!(driver.grants.is_empty());
 }
 
+/// Found on the bench: a leader that was stopped during an outage of the store
+/// renewed nothing, and nobody could take over.
+#[test]
+fn a_stopping_leader_renews_until_the_store_takes_its_resignation() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_answers = false;
+    driver.run(Duration::from_secs(2));
+    driver.feed(OwnershipEvent::Stop);
+    driver.grants.clear();
+    driver.run(Duration::from_secs(3));
+    assert!(
+        driver.grants.len() >= 4,
+        "both ranges are renewed every second"
+    );
+    assert!(driver.commits.iter().all(|order| !order.resign));
+    driver.store_answers = true;
+    driver.run(Duration::from_secs(2));
+    assert!(driver.commits.last().is_some_and(|order| order.resign));
+    assert!(driver.core.is_finished());
+}
+
 #[test]
 fn another_writer_of_the_record_ends_the_leadership() {
     let mut driver = Driver::new("gw-0", 1);
