--- a/src/ownership/core/push.rs
+++ b/src/ownership/core/push.rs
@@ -95,6 +95,11 @@
                 live.handover = handover.or(live.handover.take());
             }
             orders::ReleaseResult::Unanswered => state.note_failure(now, false, registered),
+            // Grants name their upstream too, so the other one took none of them.
+            orders::ReleaseResult::Misdirected => {
+                state.in_flight = false;
+                state.state = holding::FormerState::Ended;
+            }
             orders::ReleaseResult::ConnectionRefused => state.note_failure(now, true, registered),
         }
     }
--- a/src/ownership/holding.rs
+++ b/src/ownership/holding.rs
@@ -22,6 +22,9 @@
 /// Pause before a call without an answer is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Pauses between calls grow up to this multiple of [`RETRY_PAUSE`].
+const MAX_PAUSE_STEPS: u32 = 8;
+
 /// Refused connections after which an unregistered upstream counts as ended.
 const DEATH_REFUSALS: u32 = 2;
 
@@ -56,6 +59,7 @@
     /// Whether the upstream refuses what earlier leaders may still send.
     pub fenced: bool,
     refusals: u32,
+    failures: u32,
 }
 
 impl LiveFormer {
@@ -79,7 +83,8 @@
     /// Notes a release call without an answer.
     pub fn note_failure(&mut self, now: Duration, refused: bool, registered: bool) {
         self.in_flight = false;
-        self.release_at = now + RETRY_PAUSE;
+        self.failures += 1;
+        self.release_at = now + RETRY_PAUSE * self.failures.min(MAX_PAUSE_STEPS);
         if refused && !registered {
             self.refusals += 1;
         }
@@ -129,6 +134,7 @@
             release_at: now,
             fenced: false,
             refusals: 0,
+            failures: 0,
         });
         LiveHolding {
             range: holding.range,
@@ -209,6 +215,7 @@
             release_at: now,
             fenced: self.is_fenced(first_fence),
             refusals: 0,
+            failures: 0,
         });
         let fresh = LiveHolding::first(now, self.range, owner, fence);
         LiveHolding { formers, ..fresh }
@@ -279,7 +286,7 @@
             self.sent = sent;
             self.unanswered = Some(sent);
         }
-        let pause = RETRY_PAUSE * self.failures.min(8);
+        let pause = RETRY_PAUSE * self.failures.min(MAX_PAUSE_STEPS);
         self.grant_at = now + pause.min(renew);
     }
 }
--- a/src/ownership/orders.rs
+++ b/src/ownership/orders.rs
@@ -70,6 +70,8 @@
     Unanswered,
     /// Nothing listens at the upstream's address.
     ConnectionRefused,
+    /// Another upstream answers at the address.
+    Misdirected,
 }
 
 /// Input of the core.
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -467,6 +467,27 @@
     assert!(driver.grants.is_empty());
 }
 
+/// Found on the bench: releases were repeated every 150 ms at an address that an
+/// upstream of another service had taken.
+#[test]
+fn an_address_with_another_upstream_holds_nothing() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.releases_answer = false;
+    driver.feed(OwnershipEvent::Candidates(candidates(&[0])));
+    driver.run(Duration::from_millis(200));
+    let (former, range) = driver.releases[0];
+    driver.grants.clear();
+    driver.feed(OwnershipEvent::Released {
+        range,
+        former,
+        result: ReleaseResult::Misdirected,
+    });
+    driver.run(TICK * 2);
+    let granted = driver.grants.iter().any(|grant| grant.range == range);
+    assert!(granted, "the former owner is not waited for");
+}
+
 /// Found on the bench: a leader that was stopped during an outage of the store
 /// renewed nothing, and nobody could take over.
 #[test]
