Divide the attempts of a request into short steps; share the fuzzing runner

Cause: the loop over attempts had 90 lines, and two fuzzing tests the same runner.

Change: gateway/progress.rs holds what attempts have led to; tests/common/fuzz.rs runs sequences. Behaviour is meant to be unchanged.

--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -20,9 +20,12 @@
 /// Start of the keys that instances write.
 const OWN_PREFIX: &str = "godwitloom/";
 
+/// Start of the keys of leaders.
+const LEADER_PREFIX: &str = "godwitloom/leader/";
+
 /// Returns the key of a service's leader.
 pub fn leader_key(service: &str) -> String {
-    format!("{OWN_PREFIX}leader/{service}")
+    format!("{LEADER_PREFIX}{service}")
 }
 
 /// Returns the key of a service's ownership record.
@@ -233,7 +236,7 @@
             view: true,
             ownership: true,
         };
-        if item.key.starts_with("godwitloom/leader/") {
+        if item.key.starts_with(LEADER_PREFIX) {
             match serde_json::from_slice::<LeaderValue>(&item.value) {
                 Ok(value) => {
                     let leader = orders::LeaderView {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,13 +1,12 @@
 //! Attempts at one request: where it goes, and whether it may go again.
 
 use crate::event_log;
-use crate::gateway::{answer, caller, choice, context, exchange, pools, view};
+use crate::gateway::{answer, caller, choice, context, exchange, pools, progress, view};
 use crate::outcome;
 use crate::routing;
 use crate::timer;
 use event_listener::EventListener;
 use serde::Serialize;
-use smallvec::SmallVec;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -39,14 +38,6 @@
 /// Most of a request's remaining time that a caller is told to wait.
 const RETRY_AFTER_SHARE: f64 = 0.25;
 
-/// One attempt, as the log shows it.
-#[derive(Clone, Debug, Serialize)]
-struct AttemptTrace {
-    upstream: Arc<str>,
-    result: &'static str,
-    ms: u64,
-}
-
 /// Fate of a request that was not a plain success.
 #[derive(Debug, Serialize)]
 struct RequestEvent<'a> {
@@ -59,7 +50,7 @@
     /// Why the instance answered itself; absent if an upstream answered.
     #[serde(skip_serializing_if = "Option::is_none")]
     reason: Option<&'static str>,
-    attempts: &'a [AttemptTrace],
+    attempts: &'a [progress::AttemptTrace],
     ms: u64,
     config: u64,
 }
@@ -111,8 +102,8 @@
                 return answer::CallerAnswer::refusal(reason, Some(MIN_RETRY_AFTER));
             }
         };
-        let mut traces = SmallVec::<[AttemptTrace; 4]>::new();
-        let result = self.run(&routed, &mut traces).await;
+        let mut progress = progress::AttemptProgress::default();
+        let result = self.run(&routed, &mut progress).await;
         let (answer, reason) = match result {
             Ok(found) => {
                 let forwarded = answer::CallerAnswer::forwarded(found, &request.head.method);
@@ -123,7 +114,7 @@
                 (answer::CallerAnswer::refusal(reason, pause), Some(reason))
             }
         };
-        self.note(&routed, &answer, reason, &traces);
+        self.note(&routed, &answer, reason, &progress.traces);
         answer
     }
 
@@ -132,7 +123,7 @@
         routed: &RoutedRequest<'_>,
         answer: &answer::CallerAnswer,
         reason: Option<answer::RefusalReason>,
-        traces: &[AttemptTrace],
+        traces: &[progress::AttemptTrace],
     ) {
         let elapsed = routed.request.arrived.elapsed();
         let metrics = &self.context.metrics;
@@ -203,89 +194,98 @@
     async fn run(
         &self,
         routed: &RoutedRequest<'_>,
-        traces: &mut SmallVec<[AttemptTrace; 4]>,
+        progress: &mut progress::AttemptProgress,
     ) -> Result<exchange::UpstreamAnswer, answer::RefusalReason> {
-        let mut tried = choice::TriedList::new();
-        let mut runs = 0;
-        let mut may_have_run = false;
-        let mut last_failure = None;
-        let mut changed: Option<EventListener> = None;
         loop {
-            if let Some(changed) = changed.take() {
+            if let Some(changed) = progress.changed.take() {
                 timer::within(SETTLE_PAUSE, changed).await;
             }
-            let before = self.context.changed.listen();
-            let permit = match self.reserve(routed, &tried).await {
+            let changed = self.context.changed.listen();
+            let permit = match self.reserve(routed, &progress.tried).await {
                 Ok(permit) => permit,
-                Err(reason) => return last_answer(may_have_run, last_failure, reason),
-            };
-            let pool = permit.pool().clone();
-            let started = Instant::now();
-            let outgoing = exchange::OutgoingRequest {
-                head: &routed.request.head,
-                body: &routed.request.body,
-                id: routed.id,
-                deadline: routed.deadline,
-                slack: TIMEOUT_SLACK,
+                Err(reason) => return progress.give_up(reason),
             };
-            let result = exchange::exchange(&pool, &self.context.dialect, &outgoing).await;
+            let end = self.attempt(routed, &permit).await;
             drop(permit);
-            let elapsed = started.elapsed();
-            let upstream = pool.view.borrow().clone();
-            let kind = result
-                .as_ref()
-                .map_or_else(|error| error.as_str(), |_| "answered");
-            traces.push(AttemptTrace {
-                upstream: upstream.id.clone(),
-                result: kind,
-                ms: elapsed.as_millis() as u64,
-            });
-            let error = match result {
-                Ok(answer) => {
-                    pool.note(elapsed, answer.head.status >= 500);
-                    if routed.key.is_some() {
-                        let context = &self.context;
-                        context.note_owner(&routed.service, upstream.key, elapsed);
-                    }
-                    let failed = answer.head.status >= 500;
-                    let idempotent = routed.rule.kind.is_idempotent();
-                    runs += 1;
-                    if failed && idempotent && self.may_run_again(routed, runs) {
-                        tried.push(upstream.key);
-                        last_failure = Some(answer);
-                        may_have_run = true;
-                        continue;
-                    }
-                    return Ok(answer);
+            progress.note(&end);
+            let upstream = end.upstream.key;
+            let again = match end.result {
+                Ok(answer) if self.may_improve(routed, &answer, progress) => {
+                    progress.last_failure = Some(answer);
+                    true
                 }
-                Err(error) => error,
+                Ok(answer) => return Ok(answer),
+                Err(error) if self.may_repeat(routed, &error, progress) => false,
+                Err(error) => return progress.give_up(reason_of(&error)),
             };
-            note_failure(&pool, &error, elapsed);
-            let not_run = error.outcome() == outcome::Outcome::NotRun;
-            if !not_run {
-                runs += 1;
-                may_have_run = true;
-            }
-            let again = match not_run {
-                true => self.may_move_on(routed, &error, traces.len()),
-                false => routed.rule.kind.is_idempotent() && self.may_run_again(routed, runs),
-            };
-            if !again {
-                let reason = match &error {
-                    exchange::ExchangeError::Timeout => answer::RefusalReason::Expired,
-                    _ if not_run => answer::RefusalReason::Refused,
-                    _ => answer::RefusalReason::LostAnswer,
-                };
-                return last_answer(may_have_run, last_failure, reason);
-            }
-            if routed.key.is_none() {
-                tried.push(upstream.key);
+            if again || routed.key.is_none() {
+                progress.tried.push(upstream);
             } else {
-                changed = Some(before);
+                progress.changed = Some(changed);
             }
         }
     }
 
+    /// Sends the request to one upstream.
+    async fn attempt(
+        &self,
+        routed: &RoutedRequest<'_>,
+        permit: &pools::PoolPermit,
+    ) -> progress::AttemptEnd {
+        let pool = permit.pool();
+        let started = Instant::now();
+        let outgoing = exchange::OutgoingRequest {
+            head: &routed.request.head,
+            body: &routed.request.body,
+            id: routed.id,
+            deadline: routed.deadline,
+            slack: TIMEOUT_SLACK,
+        };
+        let result = exchange::exchange(pool, &self.context.dialect, &outgoing).await;
+        let elapsed = started.elapsed();
+        let upstream = pool.view.borrow().clone();
+        match &result {
+            Ok(answer) => {
+                pool.note(elapsed, is_failure(answer));
+                if routed.key.is_some() {
+                    let context = &self.context;
+                    context.note_owner(&routed.service, upstream.key, elapsed);
+                }
+            }
+            Err(error) => note_failure(pool, error, elapsed),
+        }
+        progress::AttemptEnd {
+            upstream,
+            result,
+            elapsed,
+        }
+    }
+
+    /// Returns whether another upstream may answer better than with a failure.
+    fn may_improve(
+        &self,
+        routed: &RoutedRequest<'_>,
+        answer: &exchange::UpstreamAnswer,
+        progress: &progress::AttemptProgress,
+    ) -> bool {
+        is_failure(answer)
+            && routed.rule.kind.is_idempotent()
+            && self.may_run_again(routed, progress.runs)
+    }
+
+    /// Returns whether a request without an answer may be sent again.
+    fn may_repeat(
+        &self,
+        routed: &RoutedRequest<'_>,
+        error: &exchange::ExchangeError,
+        progress: &progress::AttemptProgress,
+    ) -> bool {
+        match error.outcome() {
+            outcome::Outcome::NotRun => self.may_move_on(routed, error, progress.traces.len()),
+            _ => routed.rule.kind.is_idempotent() && self.may_run_again(routed, progress.runs),
+        }
+    }
+
     /// Returns whether a request that may have run may run at another upstream.
     fn may_run_again(&self, routed: &RoutedRequest<'_>, runs: u32) -> bool {
         let left = routed.deadline.saturating_duration_since(Instant::now());
@@ -405,23 +405,16 @@
     }
 }
 
-/// Returns an earlier failure that an upstream answered, or the instance's own answer.
-fn last_answer(
-    may_have_run: bool,
-    last_failure: Option<exchange::UpstreamAnswer>,
-    reason: answer::RefusalReason,
-) -> Result<exchange::UpstreamAnswer, answer::RefusalReason> {
-    match last_failure {
-        Some(answer) => Ok(answer),
-        None => Err(give_up(may_have_run, reason)),
-    }
+fn is_failure(answer: &exchange::UpstreamAnswer) -> bool {
+    answer.head.status >= 500
 }
 
-/// Returns a reason that promises nothing if the request may have run.
-fn give_up(may_have_run: bool, reason: answer::RefusalReason) -> answer::RefusalReason {
-    match may_have_run && reason.status() == 503 {
-        true => answer::RefusalReason::LostAnswer,
-        false => reason,
+/// Returns what a caller is told after the last attempt.
+fn reason_of(error: &exchange::ExchangeError) -> answer::RefusalReason {
+    match (error, error.outcome()) {
+        (exchange::ExchangeError::Timeout, _) => answer::RefusalReason::Expired,
+        (_, outcome::Outcome::NotRun) => answer::RefusalReason::Refused,
+        _ => answer::RefusalReason::LostAnswer,
     }
 }
 
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -31,6 +31,9 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// Time allowed to the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time for which the rest of a refused request is read, so that the answer is not lost.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -291,9 +294,6 @@
     })
 }
 
-/// Time allowed to the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 fn sort_error(error: WholeError) -> ReadEnd {
     match error {
         WholeError::Slow => ReadEnd::Refused(answer::RefusalReason::SlowRequest),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,5 +16,6 @@
 pub mod dialect;
 pub mod exchange;
 pub mod pools;
+pub mod progress;
 pub mod thread;
 pub mod view;
--- a/tests/fuzz_ownership.rs
+++ b/tests/fuzz_ownership.rs
@@ -6,10 +6,12 @@
 //!
 //! `GODWITLOOM_FUZZ_CASES` sets the number of sequences per test.
 
+#[path = "common/fuzz.rs"]
+mod fuzz;
+
 use godwitloom::holder;
 use godwitloom_standins::world::{Process, StoreMode, World, WorldOptions};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use std::time::Duration;
 
@@ -149,45 +151,22 @@
     }
 }
 
-fn run_sequences(seed: u64) {
-    let cases = std::env::var("GODWITLOOM_FUZZ_CASES");
-    let cases = cases.map_or(DEFAULT_CASES, |text| text.parse().expect("a number"));
-    let shrinks = std::env::var("GODWITLOOM_FUZZ_SHRINKS");
-    let shrinks = shrinks.map_or(0, |text| text.parse().expect("a number"));
-    let config = Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: shrinks,
-        ..Config::default()
-    };
-    let mut runner = proptest::test_runner::TestRunner::new(config);
-    let strategy = FaultModel::sequential_strategy(STEPS..=STEPS);
-    let result = runner.run(&strategy, |(model, faults, counter)| {
-        OwnershipTest::test_sequential(Config::default(), model, faults, counter);
-        Ok(())
-    });
-    if let Err(error) = result {
-        panic!("seed {seed}: {error}");
-    }
-}
-
 #[test]
 fn faults_never_give_a_key_two_owners_1() {
-    run_sequences(1);
+    fuzz::run_sequences::<OwnershipTest>(1, STEPS, DEFAULT_CASES);
 }
 
 #[test]
 fn faults_never_give_a_key_two_owners_2() {
-    run_sequences(2);
+    fuzz::run_sequences::<OwnershipTest>(2, STEPS, DEFAULT_CASES);
 }
 
 #[test]
 fn faults_never_give_a_key_two_owners_3() {
-    run_sequences(3);
+    fuzz::run_sequences::<OwnershipTest>(3, STEPS, DEFAULT_CASES);
 }
 
 #[test]
 fn faults_never_give_a_key_two_owners_4() {
-    run_sequences(4);
+    fuzz::run_sequences::<OwnershipTest>(4, STEPS, DEFAULT_CASES);
 }
