Test that small ranges of a lost owner are not divided

Cause: a_lost_owner_leaves_few_ranges passed with the old division too, since it reported no load; removing the change on a scratch copy showed it.

Change: a test with load and small ranges beside it; the other one stays.

--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -453,6 +453,42 @@
     assert!(record.holdings.len() <= 4, "{:?}", record.holdings);
 }
 
+#[test]
+fn small_ranges_of_a_lost_owner_are_not_divided() {
+    let mut record = record_of_another(true);
+    let owners = [record.owners[0].key, record.owners[1].key];
+    let small = (0..32u64).map(|index| record::Holding {
+        range: godwitloom::range::KeyRange {
+            first: index * 2,
+            last: index * 2 + 1,
+        },
+        owner: owners[index as usize % 2],
+        fence: index + 1,
+        granted: true,
+        formers: record::FormerList::new(),
+    });
+    record.holdings = small.collect();
+    record.next_fence = 33;
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record));
+    let counts = (0..=LAST_KEY).map(|key| load::BucketCount {
+        bucket: load::bucket_of(key, LAST_KEY) as u32,
+        count: 1,
+    });
+    driver.feed(OwnershipEvent::Load(load::LoadReport {
+        counts: counts.collect(),
+        latencies: Vec::new(),
+    }));
+    let others = (1..5).map(|index| candidate(index, false)).collect();
+    driver.feed(OwnershipEvent::Candidates(owners::CandidateTable::new(
+        others,
+    )));
+    driver.run(Duration::from_millis(500));
+    let sizes = driver.commits.iter();
+    let most = sizes.map(|order| order.record.holdings.len()).max();
+    assert!(most <= Some(32), "{most:?} ranges");
+}
+
 #[test]
 fn a_stopping_leader_resigns_when_its_calls_have_ended() {
     let mut driver = Driver::new("gw-0", 1);
