Let one method build an instance's sign of life in the fake world

Cause: the periodic sign and the answer to a challenge built the same event twice, and three places asked for leadership in their own words.

Change: Instance::sign and Instance::is_leading in standins/src/grants/world.rs.

--- a/standins/src/grants/world.rs
+++ b/standins/src/grants/world.rs
@@ -49,6 +49,22 @@
     backlog: Vec<orders::OwnershipEvent>,
 }
 
+impl Instance {
+    fn is_leading(&self) -> bool {
+        let core = self.core.as_ref();
+        core.is_some_and(core::OwnershipCore::is_leading)
+    }
+
+    /// Returns the sign of life that other instances get.
+    fn sign(&self) -> orders::OwnershipEvent {
+        orders::OwnershipEvent::Sign {
+            name: self.name.clone(),
+            run: self.run,
+            acting: self.is_leading(),
+        }
+    }
+}
+
 #[derive(Debug)]
 enum Happening {
     Tick(usize),
@@ -293,12 +309,7 @@
 
     /// Returns the instance that leads.
     pub fn leader(&self) -> Option<usize> {
-        self.instances.iter().position(|instance| {
-            instance
-                .core
-                .as_ref()
-                .is_some_and(core::OwnershipCore::is_leading)
-        })
+        self.instances.iter().position(Instance::is_leading)
     }
 
     /// Returns the number of ranges in the stored record.
@@ -534,20 +545,10 @@
             let view = self.store.view();
             self.feed(index, orders::OwnershipEvent::Seen(view));
         }
-        let instance = &self.instances[index];
-        let acting = instance
-            .core
-            .as_ref()
-            .is_some_and(core::OwnershipCore::is_leading);
-        let event = orders::OwnershipEvent::Sign {
-            name: instance.name.clone(),
-            run: instance.run,
-            acting,
-        };
+        let event = self.instances[index].sign();
         let counts = self.counts();
         for leader in 0..self.instances.len() {
-            let leads = self.instances[leader].core.as_ref();
-            if leads.is_some_and(core::OwnershipCore::is_leading) {
+            if self.instances[leader].is_leading() {
                 let run = self.instances[leader].run;
                 self.reply(leader, run, event.clone());
                 self.reply(leader, run, orders::OwnershipEvent::Load(counts.clone()));
@@ -602,16 +603,7 @@
             return;
         };
         self.feed(other, orders::OwnershipEvent::Superseded { revision });
-        let instance = &self.instances[other];
-        let acting = instance
-            .core
-            .as_ref()
-            .is_some_and(core::OwnershipCore::is_leading);
-        let event = orders::OwnershipEvent::Sign {
-            name: instance.name.clone(),
-            run: instance.run,
-            acting,
-        };
+        let event = self.instances[other].sign();
         let run = self.instances[index].run;
         self.reply(index, run, event);
     }
