Let an upstream that checks no fences prove that a lost keeper is harmless

Cause: a keeper that is frozen stayed among those that may renew an unchecked upstream, since only its own report of the newer set counted as a proof. With it the upstream could not be replaced after a loss. Ruled out: a time limit on a keeper's authority, since renewals must go on without the controller and the platform; self-sealing after a gap of the clock, since a cut keeper shows none. Change: a heartbeat says whether the accepted set is older than any heartbeat whose answer still counts. Keepers never answer a heartbeat that names a newer set than theirs, so no older order can take effect any more.

--- a/src/holder.rs
+++ b/src/holder.rs
@@ -35,6 +35,8 @@
     pub seq: u64,
     /// Newest grant set the server accepted.
     pub accepted: grant::GrantGeneration,
+    /// Whether every heartbeat whose answer still counts showed `accepted`.
+    pub settled: bool,
     /// Whether work outside the accepted set is still in flight.
     pub releasing: bool,
     /// Whether the server asks for its keys to be moved away.
@@ -68,6 +70,8 @@
     incarnation: u64,
     check: FenceCheck,
     set: grant::GrantSet,
+    /// When the set was accepted.
+    accepted: Duration,
     expiry: Duration,
     seq: u64,
     pending: VecDeque<(u64, Duration)>,
@@ -86,6 +90,7 @@
             incarnation,
             check,
             set: grant::GrantSet::default(),
+            accepted: Duration::ZERO,
             expiry: Duration::ZERO,
             seq: 0,
             pending: VecDeque::new(),
@@ -113,6 +118,7 @@
             incarnation: self.incarnation,
             seq: self.seq,
             accepted: self.set.generation,
+            settled: now >= self.accepted + grant::LEASE_TTL,
             releasing: self.releasing(),
             leaving: self.leaving,
             missing: self.missing_keeper(now),
@@ -165,6 +171,7 @@
             return;
         }
         self.set = order.set;
+        self.accepted = now;
         self.note_keepers(now);
         self.extend(sent);
     }
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -64,6 +64,7 @@
 pub struct ServerView {
     pub incarnation: u64,
     pub accepted: grant::GrantGeneration,
+    pub settled: bool,
     pub releasing: bool,
     pub leaving: bool,
     pub missing: Option<ids::InstanceKey>,
@@ -313,6 +314,7 @@
         let server = self.heard.map(|(_, heartbeat)| ServerView {
             incarnation: heartbeat.incarnation,
             accepted: heartbeat.accepted,
+            settled: heartbeat.settled,
             releasing: heartbeat.releasing,
             leaving: heartbeat.leaving,
             missing: heartbeat.missing,
--- a/src/server.rs
+++ b/src/server.rs
@@ -228,13 +228,17 @@
 
     /// Returns whether no older order can reach the server any more.
     ///
-    /// A server that compares fence numbers sees to that itself. For any other,
-    /// every keeper must have taken the ordered set, and orders sent before
-    /// must have expired.
+    /// A server that compares fence numbers sees to that itself. Any other shows
+    /// it once each heartbeat that can still be answered named the ordered set,
+    /// since no keeper answers those with an older one. Until then, every keeper
+    /// must have taken the ordered set, and orders sent before must have expired.
     fn fenced(&self, now: Duration, gone: &GoneTimes) -> bool {
         if self.plan.check == holder::FenceCheck::Enforced {
             return true;
         }
+        if self.settled() {
+            return true;
+        }
         self.renewers.iter().all(|peer| {
             let view = self.views.iter().find(|view| view.keeper == peer.key);
             let taken = view.filter(|view| view.report.set.generation >= self.ordered.generation);
@@ -244,6 +248,14 @@
         })
     }
 
+    fn settled(&self) -> bool {
+        let settled = |view: &KeeperView| {
+            let server = view.report.server;
+            server.is_some_and(|s| s.settled && s.accepted == self.ordered.generation)
+        };
+        self.views.iter().any(settled)
+    }
+
     /// Returns what the server may hold, once the reports show it.
     pub fn discover(&self, term: u32, gone: &GoneTimes) -> Option<Discovery> {
         let views = self.views.iter().filter(|view| view.report.term == term);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -185,6 +185,8 @@
     leaving: bool,
     #[prost(fixed64, optional, tag = "7")]
     missing: Option<u64>,
+    #[prost(bool, tag = "8")]
+    settled: bool,
 }
 
 impl From<&holder::Heartbeat> for HeartbeatFrame {
@@ -194,6 +196,7 @@
             incarnation: heartbeat.incarnation,
             seq: heartbeat.seq,
             accepted: Some(heartbeat.accepted.into()),
+            settled: heartbeat.settled,
             releasing: heartbeat.releasing,
             leaving: heartbeat.leaving,
             missing: heartbeat.missing.map(|key| key.0),
@@ -208,6 +211,7 @@
             incarnation: frame.incarnation,
             seq: frame.seq,
             accepted: frame.accepted.unwrap_or_default().into(),
+            settled: frame.settled,
             releasing: frame.releasing,
             leaving: frame.leaving,
             missing: frame.missing.map(ids::InstanceKey),
@@ -470,6 +474,8 @@
     leaving: bool,
     #[prost(fixed64, optional, tag = "5")]
     missing: Option<u64>,
+    #[prost(bool, tag = "6")]
+    settled: bool,
 }
 
 impl From<&routes::RouteQuery> for QueryFrame {
@@ -579,6 +585,7 @@
             server: report.server.map(|server| ServerViewFrame {
                 incarnation: server.incarnation,
                 accepted: Some(server.accepted.into()),
+                settled: server.settled,
                 releasing: server.releasing,
                 leaving: server.leaving,
                 missing: server.missing.map(|key| key.0),
@@ -595,6 +602,7 @@
         let server = frame.server.map(|server| keeper::ServerView {
             incarnation: server.incarnation,
             accepted: server.accepted.unwrap_or_default().into(),
+            settled: server.settled,
             releasing: server.releasing,
             leaving: server.leaving,
             missing: server.missing.map(ids::InstanceKey),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -344,6 +344,7 @@
             server: Some(keeper::ServerView {
                 incarnation: 1,
                 accepted: set.generation,
+                settled: true,
                 releasing: false,
                 leaving: false,
                 missing: None,
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -47,6 +47,7 @@
         server: Some(keeper::ServerView {
             incarnation: 1,
             accepted: set.generation,
+            settled: false,
             releasing: false,
             leaving: false,
             missing: None,
@@ -115,6 +116,21 @@
     assert!(state.confined(later, TERM, &gone));
 }
 
+#[test]
+fn unchecked_server_is_confined_once_no_older_order_counts() {
+    let mut state = server_with(holder::FenceCheck::Absent, &["k1", "k2"]);
+    let held = set(TERM, 9, &["k1"]);
+    state.order(held.clone());
+    state.phase = server::ServerPhase::Live;
+    let mut news = report(held);
+    news.server.as_mut().expect("a server").settled = true;
+    state.on_report(NOW, instance("k1").key, news.clone());
+    let nobody = server::GoneTimes::new();
+    assert!(state.confined(NOW, TERM, &nobody));
+    state.order(set(TERM, 10, &["k1"]));
+    assert!(!state.confined(NOW, TERM, &nobody), "an older set settled");
+}
+
 #[test]
 fn keepers_that_disagree_cause_no_storm_of_orders() {
     let mut state = server_with(holder::FenceCheck::Enforced, &["k1", "k2"]);
--- a/tests/grants.rs
+++ b/tests/grants.rs
@@ -126,6 +126,21 @@
     assert!(!state.heartbeat(START + MILLI * 3).releasing);
 }
 
+#[test]
+fn set_settles_when_no_answer_to_an_older_heartbeat_counts() {
+    let mut state = granted();
+    let older = state.heartbeat(START + MILLI);
+    let accepted = START + MILLI * 2;
+    let newer = holder::GrantOrder {
+        seq: older.seq,
+        set: set(1, 2),
+    };
+    state.on_grant(accepted, newer);
+    let settled = accepted + grant::LEASE_TTL;
+    assert!(!state.heartbeat(settled - MILLI).settled);
+    assert!(state.heartbeat(settled).settled);
+}
+
 #[test]
 fn expiry_bound_covers_a_clock_that_runs_slow_by_a_thousandth() {
     let slow = grant::LEASE_TTL + grant::LEASE_TTL / 1000;
@@ -168,6 +183,7 @@
         incarnation,
         seq: 1,
         accepted,
+        settled: false,
         releasing: false,
         leaving: false,
         missing: None,
