Relay the store's changes and announce records as patches

Change: a leader passes the changes of its watch on; the others listen while its beacons show that it hears the store, catch up at the store after a gap, and watch themselves 1.5 s after the last beacon. Records travel as patches between announcements; a follower that stays behind in its reports gets the whole one. Announcements and plans are made at most every 40 and 25 ms. Followers may build a claim on an announced record; the fuzzing now models lost announcements and records. It found two owners: a leader that had stood still renewed at an upstream that had restarted and forgotten its fences. A suspended leader now acts only while its lease certainly lives.

--- a/src/control.rs
+++ b/src/control.rs
@@ -28,6 +28,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio_util::bytes::Bytes;
 
 /// Interval of the core's timer.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -199,7 +200,7 @@
             .control
             .control_bytes
             .add(frame.len() as u64, &[]);
-        self.links.send(address, frame);
+        self.links.send(address, Bytes::from(frame));
     }
 
     fn send_server(&self, address: SocketAddr, message: node::ServerMessage) {
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -1,10 +1,11 @@
 //! Control thread: store, ownership, gossip and pages of an instance.
 
+mod announcing;
 mod calls;
 mod peers;
 mod sync;
 
-use crate::fleet::{events, mirror, ports};
+use crate::fleet::{events, mirror, ports, relay};
 use crate::gateway::context;
 use crate::h1::server;
 use crate::ids;
@@ -47,12 +48,18 @@
     address: SocketAddr,
     heard: Duration,
     reports: u32,
+    /// State of the record that was sent last.
+    sent: record::RecordOrder,
+    /// State of the record that it told last, and since when it lags behind so.
+    known: record::RecordOrder,
+    behind_since: Option<Duration>,
 }
 
 /// One service's ownership, with what the shell keeps beside the core.
 struct ServiceControl {
     core: core::OwnershipCore,
     followers: HashMap<String, Follower>,
+    announced: Option<announcing::AnnouncedRecord>,
     /// Requests since the last report.
     tally: context::LoadTally,
 }
@@ -69,6 +76,10 @@
     gossip: Async<UdpSocket>,
     links: link::LinkSet,
     instances: Cell<usize>,
+    relay: RefCell<relay::RelayListener>,
+    /// Whether the store was read as a whole.
+    listed: Cell<bool>,
+    store_lost: Cell<bool>,
 }
 
 impl ControlThread {
@@ -94,6 +105,9 @@
             services: RefCell::default(),
             gossip,
             instances: Cell::new(ASSUMED_INSTANCES),
+            relay: RefCell::default(),
+            listed: Cell::new(false),
+            store_lost: Cell::new(false),
         })
     }
 
@@ -193,7 +207,7 @@
             }
             orders::OwnershipAction::Challenge(node) => self.send_beacon(service, node.address),
             orders::OwnershipAction::Announce(announcement) => {
-                self.announce(service, &announcement);
+                self.announce(service, *announcement);
             }
             orders::OwnershipAction::Event(note) => self.note(service, note),
         }
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -3,54 +3,25 @@
 use super::ControlThread;
 use crate::fleet::gossip;
 use crate::link;
-use crate::ownership::{load, orders};
+use crate::ownership::{load, orders, record};
 use async_io::{Async, Timer};
-use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio_util::bytes::Bytes;
 
 /// Silence after which an instance is no longer counted.
 const INSTANCE_LIFE: Duration = Duration::from_millis(1500);
 
-/// Reports after which a leader tells its followers how many instances there are.
-const BEACON_REPORTS: u32 = 4;
+/// Reports after which a leader shows its followers that it lives.
+///
+/// Two beacons may be lost before a relay counts as lost.
+const BEACON_REPORTS: u32 = 2;
 
 /// Interval of reports to leaders; hot keys must be seen within a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
 impl ControlThread {
-    /// Carries an accepted record to the other instances without the store's delay.
-    pub(super) fn announce(self: &Rc<Self>, service: &str, announcement: &orders::Announcement) {
-        let value = Bytes::from(announcement.record.encode());
-        let (revision, step) = (announcement.revision, announcement.step);
-        let content = gossip::GossipContent::Record {
-            revision,
-            step,
-            value: value.clone(),
-        };
-        let frame = self.message(service, content).encode();
-        let addresses: Vec<SocketAddr> = {
-            let services = self.services.borrow();
-            let followers = services.get(service).map(|control| &control.followers);
-            let followers = followers.into_iter().flat_map(HashMap::values);
-            followers.map(|follower| follower.address).collect()
-        };
-        for address in addresses {
-            self.count_bytes(frame.len());
-            self.links.send(address, frame.clone());
-        }
-        self.take_record(service, (revision, step), value);
-    }
-
-    pub(super) fn take_record(self: &Rc<Self>, service: &str, order: (u64, u64), value: Bytes) {
-        let effect = self.mirror.borrow_mut().put_record(service, order, value);
-        if effect.view {
-            self.publish();
-        }
-    }
-
     pub(super) async fn accept_links(this: Rc<Self>, listener: Async<TcpListener>) {
         loop {
             match listener.accept().await {
@@ -118,8 +89,13 @@
         acting: bool,
         report: &load::LoadReport,
     ) {
+        let known = self.mirror.borrow().record_order(service);
         for load in report.split(gossip::MAX_COUNTS) {
-            let content = gossip::GossipContent::Report { acting, load };
+            let content = gossip::GossipContent::Report {
+                acting,
+                known,
+                load,
+            };
             self.send_gossip(service, address, content);
         }
     }
@@ -135,6 +111,7 @@
             let content = gossip::GossipContent::Beacon {
                 revision,
                 instances,
+                relayed: self.relayed(),
             };
             self.send_gossip(service, address, content);
         }
@@ -195,8 +172,13 @@
     pub(super) fn on_gossip(self: &Rc<Self>, message: gossip::GossipMessage, sender: SocketAddr) {
         let service = message.service;
         match message.content {
-            gossip::GossipContent::Report { acting, load } => {
+            gossip::GossipContent::Report {
+                acting,
+                known,
+                load,
+            } => {
                 self.note_follower(&service, &message.name, sender);
+                self.resend_record(&service, &message.name, known);
                 let (name, run) = (message.name, message.run);
                 self.handle(&service, orders::OwnershipEvent::Sign { name, run, acting });
                 if load != load::LoadReport::default() {
@@ -206,7 +188,9 @@
             gossip::GossipContent::Beacon {
                 revision,
                 instances,
+                relayed,
             } => {
+                self.note_relay(relayed);
                 self.handle(&service, orders::OwnershipEvent::Superseded { revision });
                 let acting = {
                     let services = self.services.borrow();
@@ -218,13 +202,22 @@
                     self.send_report(&service, sender, acting, &load::LoadReport::default());
                 }
             }
-            gossip::GossipContent::Record {
-                revision,
-                step,
-                value,
-            } => {
-                self.take_record(&service, (revision, step), value);
+            gossip::GossipContent::Record { order, record } => {
+                self.take_record(&service, order, Arc::from(record));
             }
+            gossip::GossipContent::Patch { base, order, patch } => {
+                self.take_patch(&service, base, order, &patch);
+            }
+            gossip::GossipContent::Changes(relayed) => self.take_changes(relayed),
+        }
+    }
+
+    fn note_relay(&self, relayed: Option<u64>) {
+        let known = self.mirror.borrow().as_of();
+        let mut relay = self.relay.borrow_mut();
+        match relayed {
+            Some(as_of) => relay.note_beacon(self.now(), as_of, known),
+            None => relay.forget(),
         }
     }
 
@@ -242,6 +235,9 @@
                 address: sender,
                 heard: now,
                 reports: 0,
+                sent: record::RecordOrder::default(),
+                known: record::RecordOrder::default(),
+                behind_since: None,
             };
             let follower = control.followers.entry(name.to_owned()).or_insert_with(new);
             follower.address = sender;
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -1,7 +1,7 @@
 //! The mirror of the store, and what follows from its changes.
 
 use super::ControlThread;
-use crate::fleet::{events, mirror};
+use crate::fleet::{events, mirror, relay};
 use crate::gateway::{context, view};
 use crate::ownership::{core, orders, owners};
 use crate::store;
@@ -14,7 +14,7 @@
 /// Longest pause after a failed call to the store.
 const MAX_STORE_PAUSE: Duration = Duration::from_millis(800);
 
-/// Wait of the watches that probe whether a lost store answers again.
+/// Wait of the watches that ask what is new or whether a lost store answers again.
 ///
 /// A long one sent just before the store returns would be waited out in vain.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
@@ -22,6 +22,12 @@
 /// Pause between two watches, so that changes in quick succession cost one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(150);
 
+/// The same for an instance that relays changes to others.
+const RELAY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause between two looks at what the relay told.
+const LISTEN_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time for which the store keeps a watch waiting.
 ///
 /// Bounds the age of what is known if a connection falls silent.
@@ -32,22 +38,35 @@
     pub(super) async fn follow_store(this: Rc<Self>) {
         let mut lost_since: Option<Duration> = None;
         let mut pause = super::FIRST_STORE_PAUSE;
-        let mut listed = false;
+        let mut listening = false;
         loop {
-            let result = match listed {
-                true => this.watch_once(lost_since.is_some()).await,
+            let step = this.follow_step();
+            let listens = step != relay::FollowStep::Watch;
+            if std::mem::replace(&mut listening, listens) != listens {
+                this.note_relay_change(listens);
+            }
+            let wait = match (step, lost_since) {
+                (relay::FollowStep::Listen, None) => {
+                    Timer::after(LISTEN_PAUSE).await;
+                    continue;
+                }
+                (relay::FollowStep::Watch, None) => WATCH_WAIT,
+                (relay::FollowStep::CatchUp, None) | (_, Some(_)) => PROBE_WAIT,
+            };
+            let result = match this.listed.get() {
+                true => this.watch_once(wait, lost_since.is_some()).await,
                 false => this.list_once(lost_since.is_some()).await,
             };
             match result {
                 Ok(()) => {
-                    listed = true;
+                    this.listed.set(true);
                     pause = super::FIRST_STORE_PAUSE;
                     if let Some(since) = lost_since.take() {
                         this.note_regained(since);
                     }
-                    Timer::after(WATCH_PAUSE).await;
+                    Timer::after(this.watch_pause()).await;
                 }
-                Err(store::StoreError::Compacted) => listed = false,
+                Err(store::StoreError::Compacted) => this.listed.set(false),
                 Err(error) => {
                     if lost_since.is_none() {
                         lost_since = Some(this.now());
@@ -60,7 +79,37 @@
         }
     }
 
+    /// Decides how to learn of the store's next change.
+    fn follow_step(&self) -> relay::FollowStep {
+        if !self.listed.get() || self.leads_any() {
+            return relay::FollowStep::Watch;
+        }
+        let known = self.mirror.borrow().as_of();
+        self.relay.borrow().next_step(self.now(), known)
+    }
+
+    fn note_relay_change(&self, listens: bool) {
+        let as_of = self.mirror.borrow().as_of();
+        match listens {
+            true => self.context.log.emit(&events::RelayFollowed { as_of }),
+            false => self.context.log.emit(&events::RelayLost { as_of }),
+        }
+    }
+
+    pub(super) fn leads_any(&self) -> bool {
+        let services = self.services.borrow();
+        services.values().any(|control| control.core.is_leading())
+    }
+
+    fn watch_pause(&self) -> Duration {
+        match self.leads_any() {
+            true => RELAY_PAUSE,
+            false => WATCH_PAUSE,
+        }
+    }
+
     pub(super) fn note_lost(&self, error: &store::StoreError) {
+        self.store_lost.set(true);
         self.context.log.emit(&events::StoreLost {
             error: error.to_string(),
             as_of: self.mirror.borrow().as_of(),
@@ -68,6 +117,7 @@
     }
 
     pub(super) fn note_regained(&self, since: Duration) {
+        self.store_lost.set(false);
         let now = self.now();
         self.context.log.emit(&events::StoreRegained {
             after_ms: now.saturating_sub(since).as_millis() as u64,
@@ -86,14 +136,19 @@
             mirror.apply_listing(now, listing)
         };
         self.react(effect);
+        self.relay_gap();
         Ok(())
     }
 
-    pub(super) async fn watch_once(self: &Rc<Self>, lost: bool) -> Result<(), store::StoreError> {
+    pub(super) async fn watch_once(
+        self: &Rc<Self>,
+        wait: Duration,
+        lost: bool,
+    ) -> Result<(), store::StoreError> {
         let after = self.mirror.borrow().as_of();
-        let wait = if lost { PROBE_WAIT } else { WATCH_WAIT };
         let batch = self.store.watch(after, wait).await?;
         let now = self.now();
+        self.relay_changes(after, &batch);
         let effect = {
             let mut mirror = self.mirror.borrow_mut();
             if lost {
@@ -138,6 +193,7 @@
                     },
                 ),
                 followers: HashMap::new(),
+                announced: None,
                 tally: context::LoadTally::default(),
             };
             self.services
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -45,6 +45,14 @@
     /// The store answers again.
     StoreRegained, "store-regained", { after_ms: u64, as_of: u64 }
 }
+state_event! {
+    /// Changes of the store are taken from a relay from now on.
+    RelayFollowed, "relay-followed", { as_of: u64 }
+}
+state_event! {
+    /// The relay fell silent or lost the store; the store is watched again.
+    RelayLost, "relay-lost", { as_of: u64 }
+}
 state_event! {
     /// The store was listed anew.
     StoreListed, "store-listed", { items: usize, as_of: u64 }
--- /dev/null
+++ b/src/fleet/gossip/wire.rs
@@ -0,0 +1,301 @@
+//! Encoding of the messages between instances.
+
+use crate::ids;
+use crate::ownership::{load, patch, record};
+use crate::store;
+use tokio_util::bytes::Bytes;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct WireMessage {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(fixed64, tag = "2")]
+    run: u64,
+    #[prost(string, tag = "3")]
+    name: String,
+    #[prost(oneof = "WireContent", tags = "4, 5, 6, 7, 8")]
+    content: Option<WireContent>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum WireContent {
+    #[prost(message, tag = "4")]
+    Report(WireReport),
+    #[prost(message, tag = "5")]
+    Beacon(WireBeacon),
+    #[prost(message, tag = "6")]
+    Record(WireRecord),
+    #[prost(message, tag = "7")]
+    Patch(WirePatch),
+    #[prost(message, tag = "8")]
+    Changes(WireChanges),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireReport {
+    #[prost(bool, tag = "1")]
+    acting: bool,
+    #[prost(uint32, repeated, tag = "2")]
+    buckets: Vec<u32>,
+    #[prost(uint32, repeated, tag = "3")]
+    counts: Vec<u32>,
+    #[prost(fixed64, repeated, tag = "4")]
+    owners: Vec<u64>,
+    #[prost(uint32, repeated, tag = "5")]
+    answers: Vec<u32>,
+    #[prost(uint32, repeated, tag = "6")]
+    sums_ms: Vec<u32>,
+    #[prost(message, optional, tag = "7")]
+    known: Option<WireOrder>,
+}
+
+impl From<&load::LoadReport> for WireReport {
+    fn from(report: &load::LoadReport) -> WireReport {
+        let (counts, latencies) = (&report.counts, &report.latencies);
+        WireReport {
+            acting: false,
+            buckets: counts.iter().map(|count| count.bucket).collect(),
+            counts: counts.iter().map(|count| count.count).collect(),
+            owners: latencies.iter().map(|latency| latency.owner.0).collect(),
+            answers: latencies.iter().map(|latency| latency.answers).collect(),
+            sums_ms: latencies.iter().map(|latency| latency.sum_ms).collect(),
+            known: None,
+        }
+    }
+}
+
+impl From<WireReport> for load::LoadReport {
+    fn from(wire: WireReport) -> load::LoadReport {
+        let counts = wire.buckets.into_iter().zip(wire.counts);
+        let answers = wire.answers.into_iter().zip(wire.sums_ms);
+        let latencies = wire.owners.into_iter().zip(answers);
+        load::LoadReport {
+            counts: counts
+                .map(|(bucket, count)| load::BucketCount { bucket, count })
+                .collect(),
+            latencies: latencies
+                .map(|(owner, (answers, sum_ms))| load::OwnerLatency {
+                    owner: ids::UpstreamKey(owner),
+                    answers,
+                    sum_ms,
+                })
+                .collect(),
+        }
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireBeacon {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint32, tag = "2")]
+    instances: u32,
+    #[prost(uint64, optional, tag = "3")]
+    relayed: Option<u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct WireOrder {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint64, tag = "2")]
+    step: u64,
+}
+
+impl From<record::RecordOrder> for WireOrder {
+    fn from(order: record::RecordOrder) -> WireOrder {
+        WireOrder {
+            revision: order.revision,
+            step: order.step,
+        }
+    }
+}
+
+impl From<WireOrder> for record::RecordOrder {
+    fn from(wire: WireOrder) -> record::RecordOrder {
+        record::RecordOrder {
+            revision: wire.revision,
+            step: wire.step,
+        }
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireRecord {
+    #[prost(message, optional, tag = "1")]
+    order: Option<WireOrder>,
+    #[prost(bytes = "vec", tag = "2")]
+    value: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WirePatch {
+    #[prost(message, optional, tag = "1")]
+    base: Option<WireOrder>,
+    #[prost(message, optional, tag = "2")]
+    order: Option<WireOrder>,
+    #[prost(bytes = "vec", tag = "3")]
+    value: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireChange {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    /// Absent if the item was deleted.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    value: Option<Bytes>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireChanges {
+    #[prost(uint64, optional, tag = "1")]
+    after: Option<u64>,
+    #[prost(uint64, tag = "2")]
+    as_of: u64,
+    #[prost(message, repeated, tag = "3")]
+    changes: Vec<WireChange>,
+}
+
+impl From<&store::StoreChange> for WireChange {
+    fn from(change: &store::StoreChange) -> WireChange {
+        let value = match change {
+            store::StoreChange::Put(item) => Some(item.value.clone()),
+            store::StoreChange::Deleted { .. } => None,
+        };
+        WireChange {
+            key: change.key().to_owned(),
+            revision: change.revision(),
+            value,
+        }
+    }
+}
+
+impl From<WireChange> for store::StoreChange {
+    fn from(wire: WireChange) -> store::StoreChange {
+        let (key, revision) = (wire.key, wire.revision);
+        match wire.value {
+            Some(value) => store::StoreChange::Put(store::StoredItem {
+                key,
+                value,
+                revision,
+            }),
+            None => store::StoreChange::Deleted { key, revision },
+        }
+    }
+}
+
+impl From<&super::RelayedChanges> for WireChanges {
+    fn from(relayed: &super::RelayedChanges) -> WireChanges {
+        let changes = relayed.batch.changes.iter();
+        WireChanges {
+            after: relayed.after,
+            as_of: relayed.batch.as_of,
+            changes: changes.map(WireChange::from).collect(),
+        }
+    }
+}
+
+impl From<WireChanges> for super::RelayedChanges {
+    fn from(wire: WireChanges) -> super::RelayedChanges {
+        let changes = wire.changes.into_iter().map(store::StoreChange::from);
+        super::RelayedChanges {
+            after: wire.after,
+            batch: store::ChangeBatch {
+                changes: changes.collect(),
+                as_of: wire.as_of,
+            },
+        }
+    }
+}
+
+impl From<&super::GossipContent> for WireContent {
+    fn from(content: &super::GossipContent) -> WireContent {
+        match content {
+            super::GossipContent::Report {
+                acting,
+                known,
+                load,
+            } => WireContent::Report(WireReport {
+                acting: *acting,
+                known: Some((*known).into()),
+                ..WireReport::from(load)
+            }),
+            super::GossipContent::Beacon {
+                revision,
+                instances,
+                relayed,
+            } => WireContent::Beacon(WireBeacon {
+                revision: *revision,
+                instances: *instances,
+                relayed: *relayed,
+            }),
+            super::GossipContent::Record { order, record } => WireContent::Record(WireRecord {
+                order: Some((*order).into()),
+                value: record.encode(),
+            }),
+            super::GossipContent::Patch { base, order, patch } => WireContent::Patch(WirePatch {
+                base: Some((*base).into()),
+                order: Some((*order).into()),
+                value: patch.encode(),
+            }),
+            super::GossipContent::Changes(relayed) => WireContent::Changes(relayed.into()),
+        }
+    }
+}
+
+impl TryFrom<WireContent> for super::GossipContent {
+    type Error = super::GossipError;
+
+    fn try_from(wire: WireContent) -> Result<super::GossipContent, super::GossipError> {
+        Ok(match wire {
+            WireContent::Report(report) => super::GossipContent::Report {
+                acting: report.acting,
+                known: report.known.unwrap_or_default().into(),
+                load: report.into(),
+            },
+            WireContent::Beacon(beacon) => super::GossipContent::Beacon {
+                revision: beacon.revision,
+                instances: beacon.instances,
+                relayed: beacon.relayed,
+            },
+            WireContent::Record(wire) => super::GossipContent::Record {
+                order: wire.order.unwrap_or_default().into(),
+                record: Box::new(record::OwnershipRecord::decode(&wire.value)?),
+            },
+            WireContent::Patch(wire) => super::GossipContent::Patch {
+                base: wire.base.unwrap_or_default().into(),
+                order: wire.order.unwrap_or_default().into(),
+                patch: Box::new(patch::RecordPatch::decode(&wire.value)?),
+            },
+            WireContent::Changes(changes) => super::GossipContent::Changes(changes.into()),
+        })
+    }
+}
+
+impl From<&super::GossipMessage> for WireMessage {
+    fn from(message: &super::GossipMessage) -> WireMessage {
+        WireMessage {
+            service: message.service.clone(),
+            run: message.run.0,
+            name: message.name.clone(),
+            content: Some(WireContent::from(&message.content)),
+        }
+    }
+}
+
+impl TryFrom<WireMessage> for super::GossipMessage {
+    type Error = super::GossipError;
+
+    fn try_from(wire: WireMessage) -> Result<super::GossipMessage, super::GossipError> {
+        let content = wire.content.ok_or(super::GossipError::Empty)?;
+        Ok(super::GossipMessage {
+            service: wire.service,
+            run: ids::InstanceKey(wire.run),
+            name: wire.name,
+            content: content.try_into()?,
+        })
+    }
+}
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -8,14 +8,13 @@
 use crate::event_log;
 use crate::fleet::{events, ports};
 use crate::ids;
-use crate::ownership::{orders, record};
+use crate::ownership::{orders, patch, record};
 use crate::routing;
 use crate::store;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio_util::bytes::Bytes;
 
 /// Start of the keys that instances write.
 const OWN_PREFIX: &str = "godwitloom/";
@@ -23,6 +22,9 @@
 /// Start of the keys of leaders.
 const LEADER_PREFIX: &str = "godwitloom/leader/";
 
+/// Start of the keys of ownership records.
+const RECORD_PREFIX: &str = "godwitloom/owners/";
+
 /// Returns the key of a service's leader.
 pub fn leader_key(service: &str) -> String {
     format!("{LEADER_PREFIX}{service}")
@@ -30,7 +32,12 @@
 
 /// Returns the key of a service's ownership record.
 pub fn record_key(service: &str) -> String {
-    format!("{OWN_PREFIX}owners/{service}")
+    format!("{RECORD_PREFIX}{service}")
+}
+
+/// Returns whether a key holds a service's ownership record.
+pub fn is_record_key(key: &str) -> bool {
+    key.starts_with(RECORD_PREFIX)
 }
 
 /// Value of a leader's key.
@@ -67,12 +74,13 @@
     pub config: Option<Arc<routing::RoutingConfig>>,
     pub directory: directory::UpstreamDirectory,
     leaders: HashMap<String, orders::LeaderView>,
-    /// Stored ownership records and their revisions.
-    records: HashMap<String, (Arc<record::OwnershipRecord>, u64)>,
-    /// Newest ownership records, stored or announced.
-    current: HashMap<String, Arc<record::OwnershipRecord>>,
-    /// Revision and step of the newest announcement of each record.
-    announced: HashMap<String, (u64, u64)>,
+    records: HashMap<String, KnownRecord>,
+}
+
+/// Newest ownership record of a service, stored or announced.
+struct KnownRecord {
+    order: record::RecordOrder,
+    record: Arc<record::OwnershipRecord>,
 }
 
 impl StoreMirror {
@@ -87,8 +95,6 @@
             directory: directory::UpstreamDirectory::default(),
             leaders: HashMap::new(),
             records: HashMap::new(),
-            current: HashMap::new(),
-            announced: HashMap::new(),
         }
     }
 
@@ -99,7 +105,14 @@
 
     /// Returns the ownership record of a service.
     pub fn record(&self, service: &str) -> Option<&Arc<record::OwnershipRecord>> {
-        self.current.get(&record_key(service))
+        let known = self.records.get(&record_key(service))?;
+        Some(&known.record)
+    }
+
+    /// Returns which state of a service's ownership record is known.
+    pub fn record_order(&self, service: &str) -> record::RecordOrder {
+        let known = self.records.get(&record_key(service));
+        known.map(|known| known.order).unwrap_or_default()
     }
 
     /// Returns whether a service has a leader.
@@ -107,12 +120,15 @@
         self.leaders.contains_key(&leader_key(service))
     }
 
-    /// Returns what the store holds about the ownership of a service.
+    /// Returns what is known of the store about the ownership of a service.
+    ///
+    /// An announced record says what its leader learned since it stored the
+    /// record, so whoever takes over may build on it.
     pub fn store_view(&self, service: &str) -> orders::StoreView {
-        let record = self.records.get(&record_key(service));
+        let known = self.records.get(&record_key(service));
         orders::StoreView {
             leader: self.leaders.get(&leader_key(service)).cloned(),
-            record: record.map(|(record, revision)| ((**record).clone(), *revision)),
+            record: known.map(|known| ((*known.record).clone(), known.order.revision)),
             as_of: self.as_of,
         }
     }
@@ -154,27 +170,52 @@
         effect
     }
 
+    /// Takes an item over that the store showed in an answer.
+    pub fn learn(&mut self, now: Duration, item: store::StoredItem) -> MirrorEffect {
+        self.put(now, item)
+    }
+
     /// Takes a service's ownership record over that its leader announced.
-    ///
-    /// `order` is the stored record's revision and the announcement's step.
-    pub fn put_record(&mut self, service: &str, order: (u64, u64), value: Bytes) -> MirrorEffect {
+    pub fn put_record(
+        &mut self,
+        service: &str,
+        order: record::RecordOrder,
+        record: Arc<record::OwnershipRecord>,
+    ) -> MirrorEffect {
         let key = record_key(service);
         let stored = self.revisions.get(&key).copied().unwrap_or(0);
-        let known = self.announced.get(&key).copied().unwrap_or_default();
-        if order.0 < stored || order <= known {
+        if order.revision < stored || order <= self.record_order(service) {
             return MirrorEffect::default();
         }
-        match record::OwnershipRecord::decode(&value) {
-            Ok(record) => {
-                self.announced.insert(key.clone(), order);
-                self.current.insert(key, Arc::new(record));
-                MirrorEffect {
-                    view: true,
-                    ownership: false,
-                }
-            }
+        let known = KnownRecord { order, record };
+        self.records.insert(key, known);
+        MirrorEffect {
+            view: true,
+            ownership: false,
+        }
+    }
+
+    /// Takes what changed in a service's ownership record over.
+    ///
+    /// One that does not follow what is known is dropped; the leader sends the
+    /// whole record once it hears which state is known here.
+    pub fn patch_record(
+        &mut self,
+        service: &str,
+        base: record::RecordOrder,
+        order: record::RecordOrder,
+        patch: &patch::RecordPatch,
+    ) -> MirrorEffect {
+        let Some(record) = self.record(service) else {
+            return MirrorEffect::default();
+        };
+        if self.record_order(service) != base {
+            return MirrorEffect::default();
+        }
+        match patch.apply(record) {
+            Ok(record) => self.put_record(service, order, Arc::new(record)),
             Err(error) => {
-                log::warn!("announced record of {service} dropped: {error}");
+                log::warn!("change of {service}'s record dropped: {error}");
                 MirrorEffect::default()
             }
         }
@@ -252,12 +293,16 @@
         }
         match record::OwnershipRecord::decode(&item.value) {
             Ok(record) => {
-                let record = Arc::new(record);
-                let announced = self.announced.get(&item.key).copied().unwrap_or_default();
-                if announced.0 < item.revision {
-                    self.current.insert(item.key.clone(), record.clone());
+                let known = self.records.get(&item.key);
+                if known.is_none_or(|known| known.order.revision < item.revision) {
+                    let order = record::RecordOrder {
+                        revision: item.revision,
+                        step: 0,
+                    };
+                    let record = Arc::new(record);
+                    let known = KnownRecord { order, record };
+                    self.records.insert(item.key, known);
                 }
-                self.records.insert(item.key, (record, item.revision));
             }
             Err(error) => self.ignore(&item, error.to_string()),
         }
@@ -281,7 +326,6 @@
         if key.starts_with(OWN_PREFIX) {
             self.leaders.remove(key);
             self.records.remove(key);
-            self.current.remove(key);
             return MirrorEffect {
                 view: true,
                 ownership: true,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,3 +12,4 @@
 pub mod gossip;
 pub mod mirror;
 pub mod ports;
+pub mod relay;
--- a/src/link.rs
+++ b/src/link.rs
@@ -43,7 +43,7 @@
 #[derive(Clone)]
 pub struct LinkSet {
     executor: Rc<LocalExecutor<'static>>,
-    queues: Rc<RefCell<HashMap<SocketAddr, Sender<Vec<u8>>>>>,
+    queues: Rc<RefCell<HashMap<SocketAddr, Sender<Bytes>>>>,
 }
 
 impl LinkSet {
@@ -56,7 +56,7 @@
     }
 
     /// Sends a frame, or drops it.
-    pub fn send(&self, address: SocketAddr, frame: Vec<u8>) {
+    pub fn send(&self, address: SocketAddr, frame: Bytes) {
         let queue = self.queue(address);
         match queue.try_send(frame) {
             Ok(()) => {}
@@ -68,7 +68,7 @@
         }
     }
 
-    fn queue(&self, address: SocketAddr) -> Sender<Vec<u8>> {
+    fn queue(&self, address: SocketAddr) -> Sender<Bytes> {
         let mut queues = self.queues.borrow_mut();
         let open = || {
             let (sender, receiver) = async_channel::bounded(MAX_QUEUED_FRAMES);
@@ -79,22 +79,22 @@
     }
 }
 
-async fn run_link(address: SocketAddr, queue: Receiver<Vec<u8>>) {
+async fn run_link(address: SocketAddr, queue: Receiver<Bytes>) {
     if let Err(error) = send_frames(address, &queue).await {
         log::debug!("link to {address} ended: {error}");
     }
     queue.close();
 }
 
-async fn send_frames(address: SocketAddr, queue: &Receiver<Vec<u8>>) -> io::Result<()> {
+async fn send_frames(address: SocketAddr, queue: &Receiver<Bytes>) -> io::Result<()> {
     let connect = Async::<TcpStream>::connect(address);
     let connected = timer::within(CONNECT_TIMEOUT, connect).await;
     let io = connected.ok_or(io::ErrorKind::TimedOut)??;
     let mut socket = frame_socket(io);
     while let Some(Ok(frame)) = timer::within(IDLE_LIFE, queue.recv()).await {
-        socket.feed(Bytes::from(frame)).await?;
+        socket.feed(frame).await?;
         while let Ok(frame) = queue.try_recv() {
-            socket.feed(Bytes::from(frame)).await?;
+            socket.feed(frame).await?;
         }
         SinkExt::<Bytes>::flush(&mut socket).await?;
     }
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -18,6 +18,11 @@
 /// Life of a grant in renewal intervals; two renewals may fail in a row.
 const HOLD_INTERVALS: u32 = 3;
 
+/// Least time between two announcements; the first of a burst goes at once.
+///
+/// The grants of a division are acknowledged one by one within such times.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Pause before another claim after one that brought nothing.
 const CLAIM_RETRY: Duration = Duration::from_millis(500);
 
@@ -47,13 +52,15 @@
     load: load::LoadMap,
     latency: load::LatencyTable,
     leveled_at: Duration,
+    planned_at: Duration,
     challenged_at: Duration,
     claim_at: Option<Duration>,
     attempts: u64,
     stopping: bool,
     notes: Vec<orders::OwnershipNote>,
-    /// Whether the last accepted record was not announced yet.
+    /// Whether something was not announced yet.
     unannounced: bool,
+    announced_at: Duration,
     announcements: u64,
 }
 
@@ -77,12 +84,14 @@
             load: load::LoadMap::new(settings.last_key),
             latency: load::LatencyTable::default(),
             leveled_at: Duration::ZERO,
+            planned_at: Duration::ZERO,
             challenged_at: Duration::ZERO,
             claim_at: None,
             attempts: 0,
             stopping: false,
             notes: Vec::new(),
             unannounced: false,
+            announced_at: Duration::ZERO,
             announcements: 0,
         }
     }
@@ -108,7 +117,7 @@
     /// Returns until when this instance may send grants.
     pub fn authority_until(&self) -> Option<Duration> {
         match &self.state {
-            term::TermState::Leading(term) => Some(term.contact + term::AUTHORITY),
+            term::TermState::Leading(term) => Some(term.authority_until()),
             _ => None,
         }
     }
@@ -135,6 +144,9 @@
         event: orders::OwnershipEvent,
     ) -> Vec<orders::OwnershipAction> {
         let mut actions = Vec::new();
+        if let Some(term) = self.term_mut() {
+            term.note_step(now);
+        }
         match event {
             orders::OwnershipEvent::Seen(view) => self.on_seen(now, view),
             orders::OwnershipEvent::Candidates(candidates) => {
@@ -143,6 +155,7 @@
                     self.candidates_at = now;
                 }
                 self.candidates = candidates;
+                self.planned_at = Duration::ZERO;
             }
             orders::OwnershipEvent::Load(report) => {
                 self.load.add(&report.counts);
@@ -179,32 +192,50 @@
             orders::OwnershipEvent::Tick => {}
         }
         self.advance(now, &mut actions);
-        if std::mem::take(&mut self.unannounced)
-            && let Some((record, revision)) = &self.view.record
-        {
-            self.announcements += 1;
-            let holdings = self.holdings.iter();
-            let record = record::OwnershipRecord {
-                holdings: holdings.map(holding::LiveHolding::to_record).collect(),
-                ..record.clone()
-            };
-            actions.push(orders::OwnershipAction::Announce(Box::new(
-                orders::Announcement {
-                    record,
-                    revision: *revision,
-                    step: self.announcements,
-                },
-            )));
-        }
+        self.announce(now, &mut actions);
         actions.extend(self.notes.drain(..).map(orders::OwnershipAction::Event));
         actions
     }
 
+    /// Tells the others what has changed, once for all changes of a moment.
+    fn announce(&mut self, now: Duration, actions: &mut Vec<orders::OwnershipAction>) {
+        let due = now >= self.announced_at + ANNOUNCE_INTERVAL;
+        if !self.unannounced || !due || !self.is_leading() {
+            return;
+        }
+        let Some((record, revision)) = &self.view.record else {
+            return;
+        };
+        self.unannounced = false;
+        self.announced_at = now;
+        self.announcements += 1;
+        let holdings = self.holdings.iter();
+        let record = record::OwnershipRecord {
+            next_fence: self.next_fence,
+            holdings: holdings.map(holding::LiveHolding::to_record).collect(),
+            ..record.clone()
+        };
+        let order = record::RecordOrder {
+            revision: *revision,
+            step: self.announcements,
+        };
+        let announcement = Box::new(orders::Announcement { record, order });
+        actions.push(orders::OwnershipAction::Announce(announcement));
+    }
+
     fn on_seen(&mut self, now: Duration, view: orders::StoreView) {
         if view.as_of < self.view.as_of {
             return;
         }
+        let newer = |known: &(record::OwnershipRecord, u64)| {
+            view.record.as_ref().is_none_or(|seen| seen.1 < known.1)
+        };
+        let record = self.view.record.take().filter(newer);
         self.view = view;
+        // Changes may be known up to a revision whose record is still under way.
+        if record.is_some() {
+            self.view.record = record;
+        }
         let term::TermState::Leading(term) = &self.state else {
             return;
         };
--- a/src/ownership/core/claim.rs
+++ b/src/ownership/core/claim.rs
@@ -84,7 +84,7 @@
         };
         term.keep_in_flight = false;
         match alive {
-            Some(true) => term.contact = term.contact.max(sent),
+            Some(true) => term.note_contact(sent, now),
             Some(false) => self.step_down(now, "the lease has ended"),
             None => {}
         }
@@ -148,6 +148,7 @@
             (false, _) => now + term::predecessor_wait() + bound,
         };
         let names = predecessors.iter().map(|state| state.node.name.clone());
+        self.unannounced = true;
         self.notes.push(orders::OwnershipNote::Leading {
             revision,
             predecessors: names.collect(),
@@ -162,6 +163,8 @@
             predecessors,
             floor,
             first_fence,
+            stepped: now,
+            suspended: false,
         }));
     }
 
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -12,6 +12,9 @@
 /// Time for which an upstream that could not be reached gets no keys.
 const SUSPECT_TIME: Duration = Duration::from_secs(4);
 
+/// Least time between two plans; answers of grants come hundreds of times a second.
+const PLAN_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Time after a move before a range is joined with its neighbour.
 const MERGE_REST: Duration = Duration::from_secs(3);
 
@@ -27,7 +30,8 @@
             term::TermState::Leading(term) => term.commit.is_some(),
             _ => return,
         };
-        if !pending {
+        if !pending && now >= self.planned_at + PLAN_INTERVAL {
+            self.planned_at = now;
             let next = self.plan(now);
             let Some(term) = self.term_mut() else { return };
             term.commit = next;
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -24,5 +24,6 @@
 pub mod load;
 pub mod orders;
 pub mod owners;
+pub mod patch;
 pub mod record;
 pub mod term;
--- a/src/ownership/orders.rs
+++ b/src/ownership/orders.rs
@@ -156,10 +156,7 @@
 pub struct Announcement {
     /// The stored record with what was acknowledged since.
     pub record: record::OwnershipRecord,
-    /// Revision of the stored record.
-    pub revision: u64,
-    /// Order among the announcements of one revision; the store's own has 0.
-    pub step: u64,
+    pub order: record::RecordOrder,
 }
 
 /// Output of the core.
--- a/src/ownership/record.rs
+++ b/src/ownership/record.rs
@@ -72,6 +72,15 @@
     pub holdings: Vec<Holding>,
 }
 
+/// Order among the states of a service's record, stored or announced.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RecordOrder {
+    /// Revision of the stored record.
+    pub revision: u64,
+    /// Announcements since it was stored; 0 for the stored record itself.
+    pub step: u64,
+}
+
 /// A stored value that is no ownership record.
 #[derive(Debug, Error)]
 pub enum RecordError {
@@ -294,6 +303,20 @@
         WireRecord::decode(value)?.try_into()
     }
 
+    /// Returns the record without its owners and holdings.
+    pub fn head(&self) -> OwnershipRecord {
+        OwnershipRecord {
+            attempt: self.attempt,
+            leader: self.leader.clone(),
+            resigned: self.resigned,
+            predecessors: self.predecessors.clone(),
+            hold_ms: self.hold_ms,
+            next_fence: self.next_fence,
+            owners: Vec::new(),
+            holdings: Vec::new(),
+        }
+    }
+
     /// Returns the holding that covers a key.
     pub fn lookup(&self, key: u64) -> Option<&Holding> {
         let index = self
--- a/src/ownership/term.rs
+++ b/src/ownership/term.rs
@@ -15,6 +15,11 @@
 /// Covers an outage of the store; a successor waits it out before it moves keys.
 pub const AUTHORITY: Duration = Duration::from_secs(8);
 
+/// Time without a step after which a leader counts as having been suspended.
+///
+/// Its timer steps every 50 ms; a starved machine must not count.
+const SUSPENSION: Duration = Duration::from_millis(1000);
+
 /// Longest time that a new leader waits for its predecessor to have stopped.
 pub fn predecessor_wait() -> Duration {
     let span = AUTHORITY - LEASE_TTL;
@@ -64,12 +69,42 @@
     pub floor: Duration,
     /// Least fence number that no predecessor can use.
     pub first_fence: u64,
+    /// When this instance last decided anything.
+    pub stepped: Duration,
+    /// Whether the instance stood still since its last contact with the store.
+    pub suspended: bool,
 }
 
 impl LeaderTerm {
+    /// Returns until when this instance may act.
+    ///
+    /// One that stood still has not heard of its successor, which may rely on
+    /// upstreams that forgot its fence numbers in a restart; it acts only while
+    /// its lease certainly lives.
+    pub fn authority_until(&self) -> Duration {
+        match self.suspended {
+            true => self.contact + LEASE_TTL,
+            false => self.contact + AUTHORITY,
+        }
+    }
+
     /// Returns whether this instance may still act.
     pub fn has_authority(&self, now: Duration) -> bool {
-        now < self.contact + AUTHORITY
+        now < self.authority_until()
+    }
+
+    /// Notes that the instance runs.
+    pub fn note_step(&mut self, now: Duration) {
+        self.suspended |= now >= self.stepped + SUSPENSION;
+        self.stepped = now;
+    }
+
+    /// Notes that a call sent at `sent` proved the lease.
+    pub fn note_contact(&mut self, sent: Duration, now: Duration) {
+        if sent > self.contact {
+            self.contact = sent;
+            self.suspended &= now >= sent + SUSPENSION;
+        }
     }
 }
 
--- a/standins/src/grants/mod.rs
+++ b/standins/src/grants/mod.rs
@@ -6,4 +6,5 @@
 
 mod server;
 mod store;
+mod views;
 pub mod world;
--- a/standins/src/grants/world.rs
+++ b/standins/src/grants/world.rs
@@ -3,6 +3,7 @@
 use super::server::{GrantServer, KEYS};
 use super::store::GrantStore;
 pub use super::store::GrantStoreMode;
+use super::views;
 use godwitloom::directory;
 use godwitloom::ids;
 use godwitloom::ownership::{core, holding, load, orders, owners, record};
@@ -47,6 +48,7 @@
     reaches_store: bool,
     /// Events that arrived while the process stood still.
     backlog: Vec<orders::OwnershipEvent>,
+    record: views::RecordView,
 }
 
 impl Instance {
@@ -117,6 +119,7 @@
             frozen: false,
             reaches_store: true,
             backlog: Vec::new(),
+            record: views::RecordView::default(),
         });
         let mut world = GrantWorld {
             now: Duration::from_secs(1),
@@ -156,6 +159,7 @@
         instance.run = ids::InstanceKey::derive(&instance.name, instance.runs);
         instance.frozen = false;
         instance.backlog.clear();
+        instance.record = views::RecordView::default();
         let node = record::NodeInfo {
             run: instance.run,
             name: instance.name.clone(),
@@ -383,7 +387,11 @@
                 self.plan(latency, Happening::Release(index, run, Box::new(command)));
             }
             orders::OwnershipAction::Challenge(node) => self.challenge(index, &node),
-            orders::OwnershipAction::Announce(_) => {}
+            orders::OwnershipAction::Announce(announcement) => {
+                for other in &mut self.instances {
+                    other.record.announced(&mut self.random, &announcement);
+                }
+            }
             orders::OwnershipAction::Event(note) => {
                 let name = &self.instances[index].name;
                 self.notes.push(format!("{:?} {name}: {note:?}", self.now));
@@ -445,6 +453,9 @@
                     true => self.store.commit(now, run, &order),
                     false => orders::CommitResult::Unknown,
                 };
+                if let orders::CommitResult::Conflict(Some((record, revision))) = &result {
+                    self.instances[index].record.learn(record, *revision);
+                }
                 (
                     orders::OwnershipEvent::Committed(result),
                     orders::OwnershipEvent::Committed(orders::CommitResult::Unknown),
@@ -543,6 +554,8 @@
             let candidates = self.candidates();
             self.feed(index, orders::OwnershipEvent::Candidates(candidates));
             let view = self.store.view();
+            let record = &mut self.instances[index].record;
+            let view = record.seen(&mut self.random, view);
             self.feed(index, orders::OwnershipEvent::Seen(view));
         }
         let event = self.instances[index].sign();
--- a/tests/fuzz_pushed_grants.rs
+++ b/tests/fuzz_pushed_grants.rs
@@ -22,6 +22,9 @@
 /// Authority of a lost leader, its last grant, and the moves that follow.
 const RECOVERY: Duration = Duration::from_secs(30);
 
+/// Longest time without an owner while a range is moved as planned.
+const MOVE_TIME: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Debug)]
 enum Fault {
     Run(u64),
@@ -149,6 +152,10 @@
             "two owners\n{}",
             world.describe()
         );
+        // A planned move may be under way at this very moment.
+        if !world.unowned().is_empty() {
+            world.run(MOVE_TIME);
+        }
         let unowned = world.unowned();
         assert!(unowned.is_empty(), "unowned keys\n{}", world.describe());
     }
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -282,6 +282,30 @@
     );
 }
 
+/// While it stood still, another may have taken over and upstreams may have restarted.
+#[test]
+fn a_leader_that_stood_still_grants_nothing_before_it_heard_the_store() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_answers = false;
+    driver.run(Duration::from_millis(500));
+    driver.now += Duration::from_secs(3);
+    driver.grants.clear();
+    driver.run(Duration::from_secs(1));
+    assert!(driver.grants.is_empty(), "{:?}", driver.grants);
+}
+
+#[test]
+fn a_leader_that_runs_on_grants_through_an_outage_of_the_store() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_answers = false;
+    driver.run(Duration::from_millis(4000));
+    driver.grants.clear();
+    driver.run(Duration::from_secs(2));
+    assert!(!driver.grants.is_empty());
+}
+
 fn record_of_another(resigned: bool) -> record::OwnershipRecord {
     let owners = [candidate(0, false).info, candidate(1, false).info];
     let holding = |first: u64, owner: &record::OwnerInfo, fence| record::Holding {
