Let a relay speak only while the store answers it

Ruled out: lost frames (listeners compare revisions with each beacon). Change: a relay watches for 400 ms at a time and speaks for the store only for 800 ms after its last answer; beacons come with every report, 300 ms, and are relied upon for 900 ms.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -47,7 +47,6 @@
 struct Follower {
     address: SocketAddr,
     heard: Duration,
-    reports: u32,
     /// State of the record that was sent last.
     sent: record::RecordOrder,
     /// State of the record that it told last, and since when it lags behind so.
@@ -79,7 +78,7 @@
     relay: RefCell<relay::RelayListener>,
     /// Whether the store was read as a whole.
     listed: Cell<bool>,
-    store_lost: Cell<bool>,
+    contact: RefCell<relay::StoreContact>,
 }
 
 impl ControlThread {
@@ -107,7 +106,7 @@
             instances: Cell::new(ASSUMED_INSTANCES),
             relay: RefCell::default(),
             listed: Cell::new(false),
-            store_lost: Cell::new(false),
+            contact: RefCell::default(),
         })
     }
 
--- a/src/fleet/control/announcing.rs
+++ b/src/fleet/control/announcing.rs
@@ -142,8 +142,8 @@
 
     /// Returns the revision up to which this instance relays the store.
     pub(super) fn relayed(&self) -> Option<u64> {
-        let listed = self.listed.get() && !self.store_lost.get();
-        listed.then(|| self.mirror.borrow().as_of())
+        let fresh = self.contact.borrow().is_fresh(self.now());
+        fresh.then(|| self.mirror.borrow().as_of())
     }
 
     /// Passes changes that follow the revision `after` on to all followers.
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -13,11 +13,6 @@
 /// Silence after which an instance is no longer counted.
 const INSTANCE_LIFE: Duration = Duration::from_millis(1500);
 
-/// Reports after which a leader shows its followers that it lives.
-///
-/// Two beacons may be lost before a relay counts as lost.
-const BEACON_REPORTS: u32 = 2;
-
 /// Interval of reports to leaders; hot keys must be seen within a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -223,7 +218,7 @@
 
     pub(super) fn note_follower(self: &Rc<Self>, service: &str, name: &str, sender: SocketAddr) {
         let now = self.now();
-        let due = {
+        {
             let mut services = self.services.borrow_mut();
             let Some(control) = services.get_mut(service) else {
                 return;
@@ -234,7 +229,6 @@
             let new = || super::Follower {
                 address: sender,
                 heard: now,
-                reports: 0,
                 sent: record::RecordOrder::default(),
                 known: record::RecordOrder::default(),
                 behind_since: None,
@@ -242,12 +236,8 @@
             let follower = control.followers.entry(name.to_owned()).or_insert_with(new);
             follower.address = sender;
             follower.heard = now;
-            follower.reports += 1;
-            follower.reports % BEACON_REPORTS == 1
-        };
-        if due {
-            self.send_beacon(service, sender);
         }
+        self.send_beacon(service, sender);
     }
 
     pub(super) fn count_instances(&self, service: &str) {
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -25,6 +25,11 @@
 /// The same for an instance that relays changes to others.
 const RELAY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for which the store keeps a relay's watch waiting.
+///
+/// A relay shows with each answer that it still hears the store.
+const RELAY_WAIT: Duration = Duration::from_millis(400);
+
 /// Pause between two looks at what the relay told.
 const LISTEN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -50,6 +55,7 @@
                     Timer::after(LISTEN_PAUSE).await;
                     continue;
                 }
+                (relay::FollowStep::Watch, None) if this.leads_any() => RELAY_WAIT,
                 (relay::FollowStep::Watch, None) => WATCH_WAIT,
                 (relay::FollowStep::CatchUp, None) | (_, Some(_)) => PROBE_WAIT,
             };
@@ -59,6 +65,7 @@
             };
             match result {
                 Ok(()) => {
+                    this.contact.borrow_mut().note_heard(this.now());
                     this.listed.set(true);
                     pause = super::FIRST_STORE_PAUSE;
                     if let Some(since) = lost_since.take() {
@@ -109,7 +116,7 @@
     }
 
     pub(super) fn note_lost(&self, error: &store::StoreError) {
-        self.store_lost.set(true);
+        self.contact.borrow_mut().note_lost();
         self.context.log.emit(&events::StoreLost {
             error: error.to_string(),
             as_of: self.mirror.borrow().as_of(),
@@ -117,7 +124,6 @@
     }
 
     pub(super) fn note_regained(&self, since: Duration) {
-        self.store_lost.set(false);
         let now = self.now();
         self.context.log.emit(&events::StoreRegained {
             after_ms: now.saturating_sub(since).as_millis() as u64,
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -13,8 +13,12 @@
 
 /// Silence after which a relay is no longer relied upon.
 ///
-/// A configuration must be in force within 2.5 s even if its relay is lost.
-const RELAY_LIFE: Duration = Duration::from_millis(1500);
+/// Two beacons may be lost. With [`STORE_LIFE`] and the call that follows, a
+/// configuration is in force within 2 s even if its relay is lost.
+const RELAY_LIFE: Duration = Duration::from_millis(900);
+
+/// Age of the store's last answer at which a relay no longer speaks for it.
+const STORE_LIFE: Duration = Duration::from_millis(800);
 
 /// Time for which changes that a beacon tells of may still be under way.
 const ARRIVAL_TIME: Duration = Duration::from_millis(300);
@@ -92,6 +96,32 @@
     }
 }
 
+/// This instance's own contact with the store.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    /// When the store last answered a reading call; `None` while it is lost.
+    heard: Option<Duration>,
+}
+
+impl StoreContact {
+    /// Notes an answer of the store.
+    pub fn note_heard(&mut self, now: Duration) {
+        self.heard = Some(now);
+    }
+
+    /// Notes that the store is lost.
+    pub fn note_lost(&mut self) {
+        self.heard = None;
+    }
+
+    /// Returns whether what is known of the store may be relayed.
+    ///
+    /// A store may fall silent: the time of its last answer counts, not errors.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + STORE_LIFE)
+    }
+}
+
 /// Returns what to pass on of the changes that follow the revision `after`.
 ///
 /// Ownership records are left out: their leaders announce them.
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -3,7 +3,7 @@
 use godwitloom::fleet::gossip::{GossipContent, GossipMessage, RelayedChanges};
 use godwitloom::fleet::mirror::{StoreMirror, record_key};
 use godwitloom::fleet::ports::{SiteFact, SiteSchema, VanishedKey};
-use godwitloom::fleet::relay::{FollowStep, RelayListener, relayed_changes};
+use godwitloom::fleet::relay::{FollowStep, RelayListener, StoreContact, relayed_changes};
 use godwitloom::ownership::patch::RecordPatch;
 use godwitloom::ownership::record::{
     FormerList, FormerOwner, Holding, NodeInfo, OwnerInfo, OwnershipRecord, RecordOrder,
@@ -263,9 +263,9 @@
     assert_eq!(listener.next_step(START, 5), FollowStep::Watch);
     listener.note_beacon(START, 5, 5);
     assert_eq!(listener.next_step(START, 5), FollowStep::Listen);
-    let later = START + Duration::from_millis(1400);
+    let later = START + Duration::from_millis(800);
     assert_eq!(listener.next_step(later, 5), FollowStep::Listen);
-    let bound = START + Duration::from_millis(2000);
+    let bound = START + Duration::from_millis(1000);
     assert_eq!(listener.next_step(bound, 5), FollowStep::Watch);
     listener.note_beacon(bound, 5, 5);
     listener.forget();
@@ -296,3 +296,17 @@
         "known to be left out"
     );
 }
+
+/// Changes must be known within 2 s although the store falls silent to the relay alone.
+#[test]
+fn a_relay_speaks_only_while_the_store_answers_it() {
+    let mut contact = StoreContact::default();
+    assert!(!contact.is_fresh(START));
+    contact.note_heard(START);
+    assert!(contact.is_fresh(START + Duration::from_millis(500)));
+    let silent = START + Duration::from_millis(1000);
+    assert!(!contact.is_fresh(silent));
+    contact.note_heard(silent);
+    contact.note_lost();
+    assert!(!contact.is_fresh(silent));
+}
