Answer challenges only; measure the store, ownership, grants and budgets

A follower answered each beacon with a report and the leader each report with a beacon, without end, since beacons no longer came with every second report only. Change: a beacon says whether it challenges its receiver, and only then is answered. The metrics page now has attempts, refusals by reason, retry budget, store calls and age, decisions, unowned ranges, grant age and live instances.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -27,6 +27,9 @@
 /// Interval of the ownership cores' timer otherwise.
 const FOLLOWING_TICK: Duration = Duration::from_millis(150);
 
+/// Interval at which gauges are set.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Instances assumed until a leader says how many there are.
 const ASSUMED_INSTANCES: usize = 9;
 
@@ -93,6 +96,7 @@
     ) -> Rc<ControlThread> {
         let mirror = mirror::StoreMirror::new(schema, context.log.clone());
         let executor = Rc::new(LocalExecutor::new());
+        let now = context.clock.now();
         Rc::new(ControlThread {
             identity,
             context,
@@ -106,7 +110,7 @@
             instances: Cell::new(ASSUMED_INSTANCES),
             relay: RefCell::default(),
             listed: Cell::new(false),
-            contact: RefCell::default(),
+            contact: RefCell::new(relay::StoreContact::new(now)),
         })
     }
 
@@ -116,6 +120,7 @@
         self.spawn(Self::follow_store(self.clone()));
         self.spawn(Self::tick(self.clone()));
         self.spawn(Self::report(self.clone()));
+        self.spawn(Self::measure(self.clone()));
         self.spawn(Self::receive_gossip(self.clone()));
         async_io::block_on(self.executor.run(stop));
     }
@@ -204,7 +209,9 @@
             orders::OwnershipAction::Release(command) => {
                 self.spawn(Self::release(self.clone(), name, command));
             }
-            orders::OwnershipAction::Challenge(node) => self.send_beacon(service, node.address),
+            orders::OwnershipAction::Challenge(node) => {
+                self.send_beacon(service, node.address, true)
+            }
             orders::OwnershipAction::Announce(announcement) => {
                 self.announce(service, *announcement);
             }
@@ -213,6 +220,7 @@
     }
 
     fn note(&self, service: &str, note: orders::OwnershipNote) {
+        self.context.metrics.fleet.decided(service, &note);
         self.context.log.emit(&events::Ownership {
             service: service.to_owned(),
             note,
@@ -236,6 +244,24 @@
             this.for_all(|_| orders::OwnershipEvent::Tick);
         }
     }
+
+    /// Keeps the gauges of the control side up to date.
+    async fn measure(this: Rc<Self>) {
+        loop {
+            Timer::after(MEASURE_INTERVAL).await;
+            let now = this.now();
+            let metrics = &this.context.metrics.fleet;
+            metrics.counted(this.instances.get());
+            let own = this.contact.borrow().age(now);
+            let told = this.relay.borrow().age(now);
+            metrics.store_known(own.min(told));
+            for (name, control) in this.services.borrow().iter() {
+                if let Some(progress) = control.core.progress(now) {
+                    metrics.progressed(name, progress, MEASURE_INTERVAL);
+                }
+            }
+        }
+    }
 }
 
 /// Returns a random key for this run of the instance called `name`.
--- a/src/fleet/control/calls.rs
+++ b/src/fleet/control/calls.rs
@@ -1,7 +1,7 @@
 //! Calls that the ownership cores ask for.
 
 use super::ControlThread;
-use crate::fleet::mirror;
+use crate::fleet::{mirror, telemetry};
 use crate::ownership::{orders, record};
 use crate::store;
 use std::rc::Rc;
@@ -11,7 +11,9 @@
 impl ControlThread {
     pub(super) async fn open_lease(this: Rc<Self>, service: String, ttl: Duration) {
         let sent = this.now();
-        let lease = match this.store.open_lease(ttl).await {
+        let opened = this.store.open_lease(ttl).await;
+        this.count_call(telemetry::StoreCall::OpenLease, &opened);
+        let lease = match opened {
             Ok(lease) => Some(lease),
             Err(error) => {
                 log::debug!("{service}: lease not opened: {error}");
@@ -26,7 +28,9 @@
 
     pub(super) async fn keep_lease(this: Rc<Self>, service: String, lease: u64) {
         let sent = this.now();
-        let alive = match this.store.keep_lease(lease).await {
+        let kept = this.store.keep_lease(lease).await;
+        this.count_call(telemetry::StoreCall::KeepLease, &kept);
+        let alive = match kept {
             Ok(()) => Some(true),
             Err(store::StoreError::LeaseEnded) => Some(false),
             Err(error) => {
@@ -39,7 +43,9 @@
 
     pub(super) async fn commit(this: Rc<Self>, service: String, order: Box<orders::CommitOrder>) {
         let transaction = this.transaction(&service, &order);
-        let result = match this.store.commit(&transaction).await {
+        let committed = this.store.commit(&transaction).await;
+        this.count_call(telemetry::StoreCall::Commit, &committed);
+        let result = match committed {
             Ok(store::TransactionResult::Committed { revision }) => {
                 orders::CommitResult::Committed { revision }
             }
@@ -66,6 +72,14 @@
         this.handle(&service, orders::OwnershipEvent::Committed(result));
     }
 
+    pub(super) fn count_call<T>(
+        &self,
+        call: telemetry::StoreCall,
+        result: &Result<T, store::StoreError>,
+    ) {
+        self.context.metrics.fleet.store_called(call, result);
+    }
+
     /// Takes over what a refused write showed of the store.
     fn learn(self: &Rc<Self>, items: &[store::StoredItem]) {
         let now = self.now();
@@ -122,6 +136,7 @@
             now < last && authority.is_some_and(|until| now < until)
         };
         let result = this.grants.grant(&command, Rc::new(guard)).await;
+        this.context.metrics.fleet.granted(&service, result);
         this.handle(
             &service,
             orders::OwnershipEvent::Granted {
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    pub(super) fn send_beacon(&self, service: &str, address: SocketAddr) {
+    pub(super) fn send_beacon(&self, service: &str, address: SocketAddr, challenge: bool) {
         let since = {
             let services = self.services.borrow();
             let control = services.get(service);
@@ -107,6 +107,7 @@
                 revision,
                 instances,
                 relayed: self.relayed(),
+                challenge,
             };
             self.send_gossip(service, address, content);
         }
@@ -184,6 +185,7 @@
                 revision,
                 instances,
                 relayed,
+                challenge,
             } => {
                 self.note_relay(relayed);
                 self.handle(&service, orders::OwnershipEvent::Superseded { revision });
@@ -194,6 +196,8 @@
                 };
                 if !acting {
                     self.set_instances(instances as usize);
+                }
+                if challenge && !acting {
                     self.send_report(&service, sender, acting, &load::LoadReport::default());
                 }
             }
@@ -237,7 +241,7 @@
             follower.address = sender;
             follower.heard = now;
         }
-        self.send_beacon(service, sender);
+        self.send_beacon(service, sender, false);
     }
 
     pub(super) fn count_instances(&self, service: &str) {
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -1,7 +1,7 @@
 //! The mirror of the store, and what follows from its changes.
 
 use super::ControlThread;
-use crate::fleet::{events, mirror, relay};
+use crate::fleet::{events, mirror, relay, telemetry};
 use crate::gateway::{context, view};
 use crate::ownership::{core, orders, owners};
 use crate::store;
@@ -132,7 +132,9 @@
     }
 
     pub(super) async fn list_once(self: &Rc<Self>, lost: bool) -> Result<(), store::StoreError> {
-        let listing = self.store.list().await?;
+        let listed = self.store.list().await;
+        self.count_call(telemetry::StoreCall::List, &listed);
+        let listing = listed?;
         let now = self.now();
         let effect = {
             let mut mirror = self.mirror.borrow_mut();
@@ -152,7 +154,9 @@
         lost: bool,
     ) -> Result<(), store::StoreError> {
         let after = self.mirror.borrow().as_of();
-        let batch = self.store.watch(after, wait).await?;
+        let watched = self.store.watch(after, wait).await;
+        self.count_call(telemetry::StoreCall::Watch, &watched);
+        let batch = watched?;
         let now = self.now();
         self.relay_changes(after, &batch);
         let effect = {
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -48,6 +48,8 @@
         instances: u32,
         /// Revision up to which the sender relays the store, if it does.
         relayed: Option<u64>,
+        /// Whether the receiver is asked whether it still leads.
+        challenge: bool,
     },
     /// Whole ownership record.
     Record {
--- a/src/fleet/gossip/wire.rs
+++ b/src/fleet/gossip/wire.rs
@@ -92,6 +92,8 @@
     instances: u32,
     #[prost(uint64, optional, tag = "3")]
     relayed: Option<u64>,
+    #[prost(bool, tag = "4")]
+    challenge: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -227,10 +229,12 @@
                 revision,
                 instances,
                 relayed,
+                challenge,
             } => WireContent::Beacon(WireBeacon {
                 revision: *revision,
                 instances: *instances,
                 relayed: *relayed,
+                challenge: *challenge,
             }),
             super::GossipContent::Record { order, record } => WireContent::Record(WireRecord {
                 order: Some((*order).into()),
@@ -260,6 +264,7 @@
                 revision: beacon.revision,
                 instances: beacon.instances,
                 relayed: beacon.relayed,
+                challenge: beacon.challenge,
             },
             WireContent::Record(wire) => super::GossipContent::Record {
                 order: wire.order.unwrap_or_default().into(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,3 +13,4 @@
 pub mod mirror;
 pub mod ports;
 pub mod relay;
+pub mod telemetry;
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -83,6 +83,12 @@
         self.heard.is_some_and(|heard| now < heard + RELAY_LIFE)
     }
 
+    /// Returns the time since the relay was last heard.
+    pub fn age(&self, now: Duration) -> Duration {
+        self.heard
+            .map_or(Duration::MAX, |heard| now.saturating_sub(heard))
+    }
+
     /// Returns what to do for an instance that knows the store up to `known`.
     pub fn next_step(&self, now: Duration, known: u64) -> FollowStep {
         if !self.is_heard(now) {
@@ -97,28 +103,43 @@
 }
 
 /// This instance's own contact with the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoreContact {
-    /// When the store last answered a reading call; `None` while it is lost.
-    heard: Option<Duration>,
+    /// When the store last answered a reading call.
+    heard: Duration,
+    lost: bool,
 }
 
 impl StoreContact {
+    /// Creates the contact of an instance that starts now and has heard nothing.
+    pub fn new(now: Duration) -> StoreContact {
+        StoreContact {
+            heard: now,
+            lost: true,
+        }
+    }
+
     /// Notes an answer of the store.
     pub fn note_heard(&mut self, now: Duration) {
-        self.heard = Some(now);
+        self.heard = now;
+        self.lost = false;
     }
 
     /// Notes that the store is lost.
     pub fn note_lost(&mut self) {
-        self.heard = None;
+        self.lost = true;
+    }
+
+    /// Returns the time since the store last answered; since the start if it never did.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.heard)
     }
 
     /// Returns whether what is known of the store may be relayed.
     ///
     /// A store may fall silent: the time of its last answer counts, not errors.
     pub fn is_fresh(&self, now: Duration) -> bool {
-        self.heard.is_some_and(|heard| now < heard + STORE_LIFE)
+        !self.lost && self.age(now) < STORE_LIFE
     }
 }
 
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -99,6 +99,7 @@
                 self.context
                     .metrics
                     .answered("", reason.status(), request.arrived.elapsed());
+                self.context.metrics.refused("", reason.as_str());
                 return answer::CallerAnswer::refusal(reason, Some(MIN_RETRY_AFTER));
             }
         };
@@ -128,6 +129,12 @@
         let elapsed = routed.request.arrived.elapsed();
         let metrics = &self.context.metrics;
         metrics.answered(&routed.rule.name, answer.status, elapsed);
+        for trace in traces {
+            metrics.attempted(&routed.service, trace.result);
+        }
+        if let Some(reason) = reason {
+            metrics.refused(&routed.service, reason.as_str());
+        }
         let plain = reason.is_none() && traces.len() == 1 && answer.status < 500;
         if plain {
             return;
@@ -289,9 +296,7 @@
     /// Returns whether a request that may have run may run at another upstream.
     fn may_run_again(&self, routed: &RoutedRequest<'_>, runs: u32) -> bool {
         let left = routed.deadline.saturating_duration_since(Instant::now());
-        runs < routed.rule.attempts
-            && left > routed.rule.objective / 8
-            && self.context.budget(&routed.service).spend()
+        runs < routed.rule.attempts && left > routed.rule.objective / 8 && self.spend(routed)
     }
 
     /// Returns whether a request that certainly did not run may be sent again.
@@ -303,7 +308,13 @@
     ) -> bool {
         let arrived = matches!(error, exchange::ExchangeError::Refused { .. });
         let late = Instant::now() >= routed.deadline;
-        !late && sent < MAX_REFUSALS && (!arrived || self.context.budget(&routed.service).spend())
+        !late && sent < MAX_REFUSALS && (!arrived || self.spend(routed))
+    }
+
+    fn spend(&self, routed: &RoutedRequest<'_>) -> bool {
+        let allowed = self.context.budget(&routed.service).spend();
+        self.context.metrics.budgeted(&routed.service, allowed);
+        allowed
     }
 
     /// Waits for an upstream that may take the request now.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters of one instance, in Prometheus' text format.
 
+use crate::fleet::telemetry;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -20,7 +21,11 @@
     latency: Histogram<f64>,
     retries: Counter<u64>,
     held: UpDownCounter<i64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    budget: Counter<u64>,
     pub control: ControlMetrics,
+    pub fleet: telemetry::FleetMetrics,
 }
 
 /// Instruments of the control thread.
@@ -81,7 +86,20 @@
                 .i64_up_down_counter("godwitloom.held")
                 .with_description("Requests that wait for an owner")
                 .build(),
+            refusals: meter
+                .u64_counter("godwitloom.refusals")
+                .with_description("Answers of the instance itself by service and reason")
+                .build(),
+            attempts: meter
+                .u64_counter("godwitloom.attempts")
+                .with_description("Attempts at upstreams by service and result")
+                .build(),
+            budget: meter
+                .u64_counter("godwitloom.retry.budget")
+                .with_description("Repetitions that the retry budget allowed or denied")
+                .build(),
             control: ControlMetrics::new(&meter),
+            fleet: telemetry::FleetMetrics::new(&meter),
             _provider: provider,
         }
     }
@@ -95,6 +113,28 @@
         self.requests.add(1, &[service, status]);
     }
 
+    /// Notes a request that the instance answered itself.
+    pub fn refused(&self, service: &str, reason: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.refusals
+            .add(1, &[service, KeyValue::new("reason", reason)]);
+    }
+
+    /// Notes the end of an attempt.
+    pub fn attempted(&self, service: &str, result: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.attempts
+            .add(1, &[service, KeyValue::new("result", result)]);
+    }
+
+    /// Notes whether the retry budget allowed a repetition.
+    pub fn budgeted(&self, service: &str, allowed: bool) {
+        let decision = if allowed { "spent" } else { "exhausted" };
+        let service = KeyValue::new("service", service.to_owned());
+        self.budget
+            .add(1, &[service, KeyValue::new("decision", decision)]);
+    }
+
     /// Notes a repeated attempt.
     pub fn retried(&self, service: &str) {
         self.retries
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -122,6 +122,21 @@
         }
     }
 
+    /// Returns how far the grants of a led service have come.
+    pub fn progress(&self, now: Duration) -> Option<orders::GrantProgress> {
+        if !self.is_leading() {
+            return None;
+        }
+        let unowned = self.holdings.iter().filter(|live| !live.granted);
+        let confirmed = self.holdings.iter().filter_map(|live| live.confirmed);
+        let ages = confirmed.map(|at| now.saturating_sub(at));
+        Some(orders::GrantProgress {
+            ranges: self.holdings.len(),
+            unowned: unowned.count(),
+            oldest: ages.max().unwrap_or_default(),
+        })
+    }
+
     fn renew_interval(&self) -> Duration {
         self.hold / HOLD_INTERVALS
     }
--- a/src/ownership/orders.rs
+++ b/src/ownership/orders.rs
@@ -63,6 +63,18 @@
     Unsent,
 }
 
+impl GrantResult {
+    /// Returns the result as metrics name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            GrantResult::Granted => "granted",
+            GrantResult::Fenced => "fenced",
+            GrantResult::Unanswered => "unanswered",
+            GrantResult::Unsent => "unsent",
+        }
+    }
+}
+
 /// Result of a release call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ReleaseResult {
@@ -151,6 +163,16 @@
     pub former: record::FormerOwner,
 }
 
+/// How far the grants of a service that this instance leads have come.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct GrantProgress {
+    pub ranges: usize,
+    /// Ranges whose owner has not acknowledged its grant.
+    pub unowned: usize,
+    /// Age of the oldest acknowledged renewal.
+    pub oldest: Duration,
+}
+
 /// What the other instances are told without the store's delay.
 #[derive(Clone, Debug)]
 pub struct Announcement {
@@ -214,3 +236,18 @@
         owner: ids::UpstreamKey,
     },
 }
+
+impl OwnershipNote {
+    /// Returns the decision as logs and metrics name it.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            OwnershipNote::Leading { .. } => "leading",
+            OwnershipNote::PredecessorEnded { .. } => "predecessor-ended",
+            OwnershipNote::StoppedLeading { .. } => "stopped-leading",
+            OwnershipNote::Moving { .. } => "moving",
+            OwnershipNote::FormerCleared { .. } => "former-cleared",
+            OwnershipNote::OwnerGranted { .. } => "owner-granted",
+            OwnershipNote::OwnerLapsed { .. } => "owner-lapsed",
+        }
+    }
+}
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -300,7 +300,7 @@
 /// Changes must be known within 2 s although the store falls silent to the relay alone.
 #[test]
 fn a_relay_speaks_only_while_the_store_answers_it() {
-    let mut contact = StoreContact::default();
+    let mut contact = StoreContact::new(START);
     assert!(!contact.is_fresh(START));
     contact.note_heard(START);
     assert!(contact.is_fresh(START + Duration::from_millis(500)));
