Watch the configuration apart from the relay; answer what waits before the end

Change: every instance that listens to a relay also watches the configuration alone; what the relay left out is read with a second more time. Measured: a_configuration_does_not_wait_for_the_relay passes with the change; a_stop_answers_what_still_waits_for_an_owner failed before and passes.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -118,6 +118,7 @@
     pub fn run(self: &Rc<Self>, links: Async<TcpListener>, stop: impl Future<Output = ()>) {
         self.spawn(Self::accept_links(self.clone(), links));
         self.spawn(Self::follow_store(self.clone()));
+        self.spawn(Self::follow_config(self.clone()));
         self.spawn(Self::tick(self.clone()));
         self.spawn(Self::report(self.clone()));
         self.spawn(Self::measure(self.clone()));
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -30,6 +30,16 @@
 /// A relay shows with each answer that it still hears the store.
 const RELAY_WAIT: Duration = Duration::from_millis(400);
 
+/// Time for which the store keeps a watch of the configuration waiting.
+///
+/// Bounds the time for which a connection that fell silent is relied upon.
+const CONFIG_WAIT: Duration = Duration::from_millis(4000);
+
+/// Time for which a watch of what the relay left out may wait.
+///
+/// Its answer is there at once but may be long; the wait allows the time to read it.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1000);
+
 /// Pause between two looks at what the relay told.
 const LISTEN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -57,7 +67,8 @@
                 }
                 (relay::FollowStep::Watch, None) if this.leads_any() => RELAY_WAIT,
                 (relay::FollowStep::Watch, None) => WATCH_WAIT,
-                (relay::FollowStep::CatchUp, None) | (_, Some(_)) => PROBE_WAIT,
+                (relay::FollowStep::CatchUp, None) => CATCH_UP_WAIT,
+                (_, Some(_)) => PROBE_WAIT,
             };
             let result = match this.listed.get() {
                 true => this.watch_once(wait, lost_since.is_some()).await,
@@ -86,6 +97,45 @@
         }
     }
 
+    /// Watches the configuration apart from the relay.
+    ///
+    /// A configuration is too long to be relayed, and its bound too short for a
+    /// relay that is replaced just then to be waited for.
+    pub(super) async fn follow_config(this: Rc<Self>) {
+        let mut seen = 0;
+        loop {
+            if this.follow_step() == relay::FollowStep::Watch {
+                Timer::after(LISTEN_PAUSE).await;
+                continue;
+            }
+            let after = this.mirror.borrow().as_of().max(seen);
+            let watched = this.store.watch_config(after, CONFIG_WAIT).await;
+            this.count_call(telemetry::StoreCall::WatchConfig, &watched);
+            match watched {
+                Ok(batch) => {
+                    seen = seen.max(batch.as_of);
+                    this.learn_changes(batch);
+                    Timer::after(WATCH_PAUSE).await;
+                }
+                Err(error) => {
+                    log::debug!("configuration not watched: {error}; it is repeated");
+                    Timer::after(MAX_STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Takes changes over without counting the store as known up to them.
+    fn learn_changes(self: &Rc<Self>, batch: store::ChangeBatch) {
+        let now = self.now();
+        for change in batch.changes {
+            if let store::StoreChange::Put(item) = change {
+                let effect = self.mirror.borrow_mut().learn(now, item);
+                self.react(effect);
+            }
+        }
+    }
+
     /// Decides how to learn of the store's next change.
     fn follow_step(&self) -> relay::FollowStep {
         if !self.listed.get() || self.leads_any() {
--- a/src/fleet/telemetry.rs
+++ b/src/fleet/telemetry.rs
@@ -11,6 +11,7 @@
 pub enum StoreCall {
     List,
     Watch,
+    WatchConfig,
     Commit,
     OpenLease,
     KeepLease,
@@ -21,6 +22,7 @@
         match self {
             StoreCall::List => "list",
             StoreCall::Watch => "watch",
+            StoreCall::WatchConfig => "watch-config",
             StoreCall::Commit => "commit",
             StoreCall::OpenLease => "open-lease",
             StoreCall::KeepLease => "keep-lease",
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -296,7 +296,10 @@
     /// Returns whether a request that may have run may run at another upstream.
     fn may_run_again(&self, routed: &RoutedRequest<'_>, runs: u32) -> bool {
         let left = routed.deadline.saturating_duration_since(Instant::now());
-        runs < routed.rule.attempts && left > routed.rule.objective / 8 && self.spend(routed)
+        !self.is_ending()
+            && runs < routed.rule.attempts
+            && left > routed.rule.objective / 8
+            && self.spend(routed)
     }
 
     /// Returns whether a request that certainly did not run may be sent again.
@@ -307,10 +310,16 @@
         sent: usize,
     ) -> bool {
         let arrived = matches!(error, exchange::ExchangeError::Refused { .. });
-        let late = Instant::now() >= routed.deadline;
+        let late = Instant::now() >= routed.deadline || self.is_ending();
         !late && sent < MAX_REFUSALS && (!arrived || self.spend(routed))
     }
 
+    /// Returns whether the process ends too soon for another attempt.
+    fn is_ending(&self) -> bool {
+        let until = self.context.attempts_until();
+        until.is_some_and(|until| Instant::now() >= until)
+    }
+
     fn spend(&self, routed: &RoutedRequest<'_>) -> bool {
         let allowed = self.context.budget(&routed.service).spend();
         self.context.metrics.budgeted(&routed.service, allowed);
@@ -330,6 +339,8 @@
                 Ok(permit) => return Ok(permit),
                 Err(reason) => reason,
             };
+            let stop = self.context.attempts_until();
+            let until = stop.map_or(until, |stop| until.min(stop));
             let left = until.saturating_duration_since(Instant::now());
             let (listener, refusal) = match reason {
                 WaitReason::NoOwner(listener) => (listener, answer::RefusalReason::NoOwner),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -20,6 +20,8 @@
 pub struct GatewaySettings {
     /// Time after the begin of a stop at which idle connections are closed.
     pub lame_duck: Duration,
+    /// Time after the begin of a stop at which no attempt begins any more.
+    pub last_attempt: Duration,
     /// Repeated requests that all instances together may add to each request.
     pub retry_ratio: f64,
     /// Repeated requests that all instances together may send at once.
@@ -118,6 +120,14 @@
     /// Begins the graceful stop.
     pub fn begin_stop(&self) {
         self.stop_since.get_or_init(Instant::now);
+        // Requests that wait for an owner learn how long they may.
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Returns when no attempt may begin any more, once a stop has begun.
+    pub fn attempts_until(&self) -> Option<Instant> {
+        let since = self.stop_since.get()?;
+        Some(*since + self.settings.last_attempt)
     }
 
     /// Returns whether the graceful stop has begun.
--- a/src/store.rs
+++ b/src/store.rs
@@ -115,6 +115,15 @@
     /// Waits at most `wait` for changes after a revision.
     fn watch(&self, after: u64, wait: Duration) -> PortFuture<'_, Result<ChangeBatch, StoreError>>;
 
+    /// Waits at most `wait` for changes of the configuration after a revision.
+    ///
+    /// May wait while another watch waits. Its answer shows nothing of other items.
+    fn watch_config(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> PortFuture<'_, Result<ChangeBatch, StoreError>>;
+
     /// Writes under a condition.
     fn commit<'a>(
         &'a self,
