--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -14,7 +14,7 @@
 /// Silence after which a relay is no longer relied upon.
 ///
 /// Two beacons may be lost. With [`STORE_LIFE`] and the call that follows, a
-/// configuration is in force within 2 s even if its relay is lost.
+/// change is known within 2 s even if the relay is lost.
 const RELAY_LIFE: Duration = Duration::from_millis(900);
 
 /// Age of the store's last answer at which a relay no longer speaks for it.
