Take items over in one place; share whole records; name the labels once

Cause: reading the change again. OwnershipNote's names stay beside serde's, since a label by serialising each note would cost more than it saves. Change: ControlThread::learn, StoreChange::into_item, Arc in the message, metrics::labels, RouteRule::pick_service. No behaviour, bound or check changes.

--- a/src/fleet/control/announcing.rs
+++ b/src/fleet/control/announcing.rs
@@ -111,7 +111,7 @@
         };
         let content = gossip::GossipContent::Record {
             order: announced.order,
-            record: Box::new((*announced.record).clone()),
+            record: announced.record,
         };
         let frame = Bytes::from(self.message(service, content).encode());
         self.send_frame(address, frame);
--- a/src/fleet/control/calls.rs
+++ b/src/fleet/control/calls.rs
@@ -51,7 +51,7 @@
             }
             Ok(store::TransactionResult::LeaseEnded) => orders::CommitResult::LeaseEnded,
             Ok(store::TransactionResult::Conflict(items)) => {
-                this.learn(&items);
+                this.learn(items.iter().cloned());
                 let key = mirror::record_key(&service);
                 let found = items.iter().find(|item| item.key == key);
                 let decode = |item: &store::StoredItem| {
@@ -80,15 +80,6 @@
         self.context.metrics.fleet.store_called(call, result);
     }
 
-    /// Takes over what a refused write showed of the store.
-    fn learn(self: &Rc<Self>, items: &[store::StoredItem]) {
-        let now = self.now();
-        for item in items {
-            let effect = self.mirror.borrow_mut().learn(now, item.clone());
-            self.react(effect);
-        }
-    }
-
     pub(super) fn transaction(
         &self,
         service: &str,
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -7,7 +7,6 @@
 use async_io::{Async, Timer};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Silence after which an instance is no longer counted.
@@ -196,13 +195,13 @@
                 };
                 if !acting {
                     self.set_instances(instances as usize);
-                }
-                if challenge && !acting {
-                    self.send_report(&service, sender, acting, &load::LoadReport::default());
+                    if challenge {
+                        self.send_report(&service, sender, acting, &load::LoadReport::default());
+                    }
                 }
             }
             gossip::GossipContent::Record { order, record } => {
-                self.take_record(&service, order, Arc::from(record));
+                self.take_record(&service, order, record);
             }
             gossip::GossipContent::Patch { base, order, patch } => {
                 self.take_patch(&service, base, order, &patch);
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -114,7 +114,8 @@
             match watched {
                 Ok(batch) => {
                     seen = seen.max(batch.as_of);
-                    this.learn_changes(batch);
+                    let changes = batch.changes.into_iter();
+                    this.learn(changes.filter_map(store::StoreChange::into_item));
                     Timer::after(WATCH_PAUSE).await;
                 }
                 Err(error) => {
@@ -125,14 +126,12 @@
         }
     }
 
-    /// Takes changes over without counting the store as known up to them.
-    fn learn_changes(self: &Rc<Self>, batch: store::ChangeBatch) {
+    /// Takes items over without counting the store as known up to them.
+    pub(super) fn learn(self: &Rc<Self>, items: impl Iterator<Item = store::StoredItem>) {
         let now = self.now();
-        for change in batch.changes {
-            if let store::StoreChange::Put(item) = change {
-                let effect = self.mirror.borrow_mut().learn(now, item);
-                self.react(effect);
-            }
+        for item in items {
+            let effect = self.mirror.borrow_mut().put(now, item);
+            self.react(effect);
         }
     }
 
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -11,6 +11,7 @@
 use crate::ownership::{load, patch, record};
 use crate::store;
 use prost::Message;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Longest datagram, in bytes.
@@ -54,7 +55,7 @@
     /// Whole ownership record.
     Record {
         order: record::RecordOrder,
-        record: Box<record::OwnershipRecord>,
+        record: Arc<record::OwnershipRecord>,
     },
     /// What changed in an ownership record.
     Patch {
--- a/src/fleet/gossip/wire.rs
+++ b/src/fleet/gossip/wire.rs
@@ -3,6 +3,7 @@
 use crate::ids;
 use crate::ownership::{load, patch, record};
 use crate::store;
+use std::sync::Arc;
 use tokio_util::bytes::Bytes;
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -268,7 +269,7 @@
             },
             WireContent::Record(wire) => super::GossipContent::Record {
                 order: wire.order.unwrap_or_default().into(),
-                record: Box::new(record::OwnershipRecord::decode(&wire.value)?),
+                record: Arc::new(record::OwnershipRecord::decode(&wire.value)?),
             },
             WireContent::Patch(wire) => super::GossipContent::Patch {
                 base: wire.base.unwrap_or_default().into(),
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -170,11 +170,6 @@
         effect
     }
 
-    /// Takes an item over that the store showed in an answer.
-    pub fn learn(&mut self, now: Duration, item: store::StoredItem) -> MirrorEffect {
-        self.put(now, item)
-    }
-
     /// Takes a service's ownership record over that its leader announced.
     pub fn put_record(
         &mut self,
@@ -228,7 +223,8 @@
         self.note_changes(changes, revision)
     }
 
-    fn put(&mut self, now: Duration, item: store::StoredItem) -> MirrorEffect {
+    /// Takes one item over, if it is newer than what is known of its key.
+    pub fn put(&mut self, now: Duration, item: store::StoredItem) -> MirrorEffect {
         let known = self.revisions.get(&item.key).copied().unwrap_or(0);
         if item.revision <= known {
             return MirrorEffect::default();
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -79,7 +79,7 @@
     }
 
     /// Returns whether a relay is heard.
-    pub fn is_heard(&self, now: Duration) -> bool {
+    fn is_heard(&self, now: Duration) -> bool {
         self.heard.is_some_and(|heard| now < heard + RELAY_LIFE)
     }
 
--- a/src/fleet/telemetry.rs
+++ b/src/fleet/telemetry.rs
@@ -1,5 +1,6 @@
 //! Instruments of the control side: the store, ownership and grants.
 
+use crate::metrics;
 use crate::ownership::orders;
 use crate::store;
 use opentelemetry::KeyValue;
@@ -109,16 +110,14 @@
 
     /// Counts a decision about a service's owners.
     pub fn decided(&self, service: &str, note: &orders::OwnershipNote) {
-        let service = KeyValue::new("service", service.to_owned());
-        let decision = KeyValue::new("decision", note.as_str());
-        self.decisions.add(1, &[service, decision]);
+        let labels = metrics::labels(service, "decision", note.as_str());
+        self.decisions.add(1, &labels);
     }
 
     /// Counts a grant sent to an upstream.
     pub fn granted(&self, service: &str, result: orders::GrantResult) {
-        let service = KeyValue::new("service", service.to_owned());
-        let result = KeyValue::new("result", result.as_str());
-        self.grants.add(1, &[service, result]);
+        let labels = metrics::labels(service, "result", result.as_str());
+        self.grants.add(1, &labels);
     }
 
     /// Sets the progress of a service's grants, `elapsed` after the last time.
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -162,7 +162,7 @@
         let head = &request.head;
         let rule = config.route(head.host(), head.path());
         let rule = rule.ok_or(answer::RefusalReason::UnknownRoute)?;
-        let service = pick_share(rule);
+        let service = rule.pick_service();
         let spec = config.services.get(&service);
         let space = spec.and_then(|spec| spec.key_space);
         let key = match space {
@@ -396,19 +396,6 @@
     }
 }
 
-/// Chooses one of a route's services by weight.
-fn pick_share(rule: &routing::RouteRule) -> Arc<str> {
-    let total: u32 = rule.shares.iter().map(|share| share.weight).sum();
-    let mut point = fastrand::u32(..total.max(1));
-    for share in &rule.shares {
-        if point < share.weight {
-            return share.service.clone();
-        }
-        point -= share.weight;
-    }
-    rule.shares[0].service.clone()
-}
-
 fn note_failure(pool: &pools::UpstreamPool, error: &exchange::ExchangeError, elapsed: Duration) {
     match error {
         exchange::ExchangeError::Unreachable(_) | exchange::ExchangeError::ConnectTimeout(_) => {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -115,24 +115,18 @@
 
     /// Notes a request that the instance answered itself.
     pub fn refused(&self, service: &str, reason: &'static str) {
-        let service = KeyValue::new("service", service.to_owned());
-        self.refusals
-            .add(1, &[service, KeyValue::new("reason", reason)]);
+        self.refusals.add(1, &labels(service, "reason", reason));
     }
 
     /// Notes the end of an attempt.
     pub fn attempted(&self, service: &str, result: &'static str) {
-        let service = KeyValue::new("service", service.to_owned());
-        self.attempts
-            .add(1, &[service, KeyValue::new("result", result)]);
+        self.attempts.add(1, &labels(service, "result", result));
     }
 
     /// Notes whether the retry budget allowed a repetition.
     pub fn budgeted(&self, service: &str, allowed: bool) {
         let decision = if allowed { "spent" } else { "exhausted" };
-        let service = KeyValue::new("service", service.to_owned());
-        self.budget
-            .add(1, &[service, KeyValue::new("decision", decision)]);
+        self.budget.add(1, &labels(service, "decision", decision));
     }
 
     /// Notes a repeated attempt.
@@ -157,6 +151,14 @@
     }
 }
 
+/// Returns the labels of what is counted by service and one more name.
+pub fn labels(service: &str, name: &'static str, value: &'static str) -> [KeyValue; 2] {
+    [
+        KeyValue::new("service", service.to_owned()),
+        KeyValue::new(name, value),
+    ]
+}
+
 impl Default for MetricSet {
     fn default() -> MetricSet {
         MetricSet::new()
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -52,6 +52,21 @@
     pub priority: u32,
 }
 
+impl RouteRule {
+    /// Draws one of the route's services by weight.
+    pub fn pick_service(&self) -> Arc<str> {
+        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
+        let mut point = fastrand::u32(..total.max(1));
+        for share in &self.shares {
+            if point < share.weight {
+                return share.service.clone();
+            }
+            point -= share.weight;
+        }
+        self.shares[0].service.clone()
+    }
+}
+
 /// Division of a service's keys.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct KeySpace {
--- a/src/store.rs
+++ b/src/store.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Returns the item that was put; `None` if one was deleted.
+    pub fn into_item(self) -> Option<StoredItem> {
+        match self {
+            StoreChange::Put(item) => Some(item),
+            StoreChange::Deleted { .. } => None,
+        }
+    }
+
     /// Returns the revision of the change.
     pub fn revision(&self) -> u64 {
         match self {
