Log when an upstream states a limit, and count attempts at it

Neither log nor metrics told whether an instance knew that an upstream limits its requests. Every instance now logs upstream-limit when an upstream's responses begin or cease to state a limit, and counts godwitloom_limited_attempts_total. Nothing is decided by it yet.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,6 +2,7 @@
 
 use crate::event_log;
 use crate::gateway::{caller, choice, context, exchange, pools, progress, response, view};
+use crate::limits;
 use crate::outcome;
 use crate::routing;
 use crate::timer;
@@ -63,6 +64,22 @@
     const CLASS: event_log::EventClass = event_log::EventClass::Request;
 }
 
+/// Log event of an upstream whose responses begin or cease to state a limit.
+#[derive(Debug, Serialize)]
+struct LimitEvent<'a> {
+    /// ID of the upstream.
+    upstream: &'a str,
+    service: &'a str,
+    /// Requests per second from all instances together; absent once there is no limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rate: Option<f64>,
+}
+
+impl event_log::LogEvent for LimitEvent<'_> {
+    const NAME: &'static str = "upstream-limit";
+    const CLASS: event_log::EventClass = event_log::EventClass::State;
+}
+
 /// A request whose route is known.
 struct RoutedRequest<'a> {
     request: &'a caller::CallerRequest,
@@ -258,9 +275,14 @@
             deadline: routed.deadline,
             slack: TIMEOUT_SLACK,
         };
-        let result = exchange::exchange(pool, &self.context.header_names, &outgoing).await;
+        let sent = self.context.clock.now();
+        let exchange::FinishedExchange { result, statement } =
+            exchange::exchange(pool, &self.context.header_names, &outgoing).await;
         let elapsed = started.elapsed();
         let upstream = pool.view.borrow().clone();
+        if let Some(statement) = statement {
+            self.note_limit(&routed.service, &upstream, sent, statement);
+        }
         match &result {
             Ok(response) => {
                 pool.record(elapsed, is_server_error(response));
@@ -278,6 +300,28 @@
         }
     }
 
+    /// Notes what a response to a request sent at `sent` says of its upstream's limit.
+    fn note_limit(
+        &self,
+        service: &Arc<str>,
+        upstream: &view::UpstreamView,
+        sent: Duration,
+        statement: limits::LimitStatement,
+    ) {
+        let now = self.context.clock.now();
+        let limits = &self.context.limits;
+        if limits.rate(upstream.key).is_some() {
+            self.context.metrics.record_limited_attempt(service);
+        }
+        if let Some(statement) = limits.note_response(upstream.key, sent, now, statement) {
+            self.context.log.emit(&LimitEvent {
+                upstream: &upstream.id,
+                service,
+                rate: statement.rate().map(limits::RequestRate::per_second),
+            });
+        }
+    }
+
     /// Returns whether a request with a 5xx response may be sent to another upstream.
     fn may_retry_response(
         &self,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -5,6 +5,7 @@
 use crate::event_log;
 use crate::gateway::{header_names, view};
 use crate::ids;
+use crate::limits::table;
 use crate::metrics;
 use crate::ownership::load;
 use crate::routing;
@@ -38,6 +39,8 @@
     pub metrics: Arc<metrics::MetricSet>,
     pub log: event_log::EventLog,
     pub clock: Arc<dyn clock::Clock>,
+    /// Limits that upstreams state.
+    pub limits: table::LimitTable,
     /// Requests that were read and have no response yet.
     pub in_flight: AtomicUsize,
     stopping_since: OnceLock<Instant>,
@@ -106,6 +109,7 @@
             metrics,
             log,
             clock,
+            limits: table::LimitTable::default(),
             in_flight: AtomicUsize::new(0),
             stopping_since: OnceLock::new(),
             close_idle: Event::new(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 use crate::gateway::{header_names, pools, response};
 use crate::h1;
 use crate::h1::{head, reader, socket};
+use crate::limits;
 use crate::outcome;
 use crate::timer;
 use async_io::Timer;
@@ -137,6 +138,14 @@
     }
 }
 
+/// An exchange that ended, with or without a response.
+#[derive(Debug)]
+pub struct FinishedExchange {
+    pub result: Result<UpstreamResponse, ExchangeError>,
+    /// What the response says of the upstream's limit; absent without a response.
+    pub statement: Option<limits::LimitStatement>,
+}
+
 /// Sends a request to an upstream and reads the whole response.
 ///
 /// Ends at the latest [`OutgoingRequest::slack`] after the deadline.
@@ -144,14 +153,22 @@
     pool: &Rc<pools::UpstreamPool>,
     names: &header_names::HeaderNames,
     request: &OutgoingRequest<'_>,
-) -> Result<UpstreamResponse, ExchangeError> {
+) -> FinishedExchange {
     let left = request.deadline.saturating_duration_since(Instant::now());
     let exchanged = timer::within(
         left + request.slack,
         exchange_without_timeout(pool, names, request),
     )
     .await;
-    exchanged.unwrap_or(Err(ExchangeError::Timeout))
+    let response = exchanged.unwrap_or(Err(ExchangeError::Timeout));
+    let statement = response.as_ref().ok().map(|response| {
+        let text = response.head.fields.get(names.request_rate);
+        text.and_then(limits::RequestRate::parse).into()
+    });
+    FinishedExchange {
+        result: response.and_then(|response| classify(response, names)),
+        statement,
+    }
 }
 
 async fn exchange_without_timeout(
@@ -185,7 +202,7 @@
     if sent.get() && response.head.framing != h1::body::BodyFraming::UntilClose {
         pool.put_idle(reader, &response.head);
     }
-    classify(response, names)
+    Ok(response)
 }
 
 async fn connect(
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -13,6 +13,9 @@
     pub responding_upstream: &'static str,
     /// Present in a response if the request did not run.
     pub not_run: &'static str,
+    /// Requests per second that the upstream takes from all instances together, if it
+    /// limits them.
+    pub request_rate: &'static str,
     /// Key of a request to a keyed service.
     pub key: &'static str,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod holder;
 pub mod ids;
 pub mod instance;
+pub mod limits;
 mod liveness;
 pub mod message;
 pub mod metrics;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -25,6 +25,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     budget_decisions: Counter<u64>,
+    limited_attempts: Counter<u64>,
     pub control: ControlMetrics,
     pub fleet: telemetry::FleetMetrics,
 }
@@ -99,6 +100,10 @@
                 .u64_counter("godwitloom.retry.budget")
                 .with_description("Repetitions that the retry budget allowed or denied")
                 .build(),
+            limited_attempts: meter
+                .u64_counter("godwitloom.limited.attempts")
+                .with_description("Attempts at upstreams that state a limit")
+                .build(),
             control: ControlMetrics::new(&meter),
             fleet: telemetry::FleetMetrics::new(&meter),
             _provider: provider,
@@ -131,6 +136,12 @@
             .add(1, &labels(service, "decision", decision));
     }
 
+    /// Counts an attempt at an upstream that states a limit.
+    pub fn record_limited_attempt(&self, service: &str) {
+        self.limited_attempts
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     pub fn record_retry(&self, service: &str) {
         self.retries
             .add(1, &[KeyValue::new("service", service.to_owned())]);
