Keep the limit that an upstream states for all instances together

Callers saw nothing; upstreams in need got the whole demand for their keys, up to twice the limit that they stated. Cause: the field was forwarded to callers and read by nobody.

Each limit now has an allocator, one of the live instances by rendezvous hashing over a list that the service's leader distributes. A request to a limited upstream needs a permit, which costs one datagram there and back; permits are spaced at the stated rate, with a burst of half a second or one request. Without a permit soon, an unkeyed request goes to another upstream and a keyed one is refused at once, with a Retry-After that lets callers return one after the other. The first response with a limit reaches all instances by a notice of the allocator. The leader rebalances keys with the limits as capacities.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod calls;
+mod limits;
 mod peers;
 mod sync;
 
@@ -9,6 +10,7 @@
 use crate::gateway::context;
 use crate::h1::server;
 use crate::ids;
+use crate::limits::{allocator, members};
 use crate::ownership::{core, interface, record};
 use crate::peer_connections;
 use crate::store;
@@ -58,6 +60,10 @@
     known_version: record::RecordVersion,
     /// Since when it has been behind at that version.
     behind_since: Option<Duration>,
+    /// Whether it asked not to allocate limits, since it stops or does not know how.
+    no_allocator: bool,
+    /// When the list of instances was sent to it last.
+    members_sent: Option<Duration>,
 }
 
 /// Ownership core of one service, with what the control thread keeps for it.
@@ -65,6 +71,10 @@
     core: core::OwnershipCore,
     followers: HashMap<String, Follower>,
     last_announced: Option<announcements::AnnouncedRecord>,
+    /// Instances among which limits are divided, as the service's leader told.
+    members: Option<Arc<members::MemberList>>,
+    /// Since when this instance has led the service.
+    leading_since: Option<Duration>,
     /// Requests and latencies since the last report.
     tally: context::LoadTally,
 }
@@ -86,6 +96,8 @@
     /// Whether all items of the store have been read.
     listed: Cell<bool>,
     store_contact: RefCell<relay::StoreContact>,
+    /// Limits that this instance allocates.
+    allocator: RefCell<allocator::LimitAllocator>,
 }
 
 impl ControlThread {
@@ -114,6 +126,7 @@
             relay: RefCell::default(),
             listed: Cell::new(false),
             store_contact: RefCell::new(relay::StoreContact::new(now)),
+            allocator: RefCell::default(),
         })
     }
 
@@ -126,6 +139,7 @@
         self.spawn(Self::report_load(self.clone()));
         self.spawn(Self::update_gauges(self.clone()));
         self.spawn(Self::receive_datagrams(self.clone()));
+        self.spawn(Self::send_asks(self.clone()));
         async_io::block_on(self.executor.run(stop));
     }
 
@@ -265,6 +279,8 @@
             let own_age = this.store_contact.borrow().age(now);
             let relay_age = this.relay.borrow().age(now);
             metrics.record_store_age(own_age.min(relay_age));
+            metrics.record_limits(this.context.limits.len());
+            this.allocator.borrow_mut().trim(now);
             for (name, control) in this.services.borrow().iter() {
                 if let Some(progress) = control.core.progress(now) {
                     metrics.record_grant_progress(name, progress, GAUGE_INTERVAL);
--- a/src/fleet/control/announcements.rs
+++ b/src/fleet/control/announcements.rs
@@ -216,7 +216,7 @@
         self.apply_effect(effect);
     }
 
-    fn send_frame(&self, address: SocketAddr, frame: Bytes) {
+    pub(super) fn send_frame(&self, address: SocketAddr, frame: Bytes) {
         self.count_bytes(frame.len());
         self.peer_connections.send(address, frame);
     }
--- /dev/null
+++ b/src/fleet/control/limits.rs
@@ -0,0 +1,235 @@
+//! Limits of upstreams: asks for permits, their answers, and the list of instances
+//! among which the allocators are chosen.
+
+use super::ControlThread;
+use crate::fleet::{events, peer};
+use crate::ids;
+use crate::limits::{self, allocator, members, table};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::bytes::Bytes;
+
+/// Time after which a new leader knows all live instances by their reports.
+const MEMBERS_SETTLE_TIME: Duration = Duration::from_millis(1000);
+
+/// Time after which the list is sent again to a follower that reports an older one.
+const MEMBERS_RESEND_DELAY: Duration = Duration::from_millis(600);
+
+impl ControlThread {
+    /// Sends the asks of this instance's requests to the allocators.
+    pub(super) async fn send_asks(this: Rc<Self>) {
+        while let Some(outgoing) = this.context.limits.next_ask().await {
+            this.send_ask(&outgoing);
+        }
+    }
+
+    fn send_ask(self: &Rc<Self>, outgoing: &table::OutgoingAsk) {
+        let table::OutgoingAsk { service, ask } = outgoing;
+        match self.members(service) {
+            Some(list) => match list.allocator(ask.upstream) {
+                Some(address) if address != self.identity.info.address => {
+                    let content = peer::MessageContent::PermitAsk(*ask);
+                    self.send_datagram(service, address, content);
+                }
+                _ => self.answer_ask(service, ask, None),
+            },
+            // Without a list every instance allocates an equal share.
+            None => {
+                let rate = ask.statement.rate();
+                let share = rate.map(|rate| rate.share(self.instances.get()));
+                let ask = allocator::PermitAsk {
+                    statement: share.into(),
+                    ..*ask
+                };
+                self.answer_ask(service, &ask, None);
+            }
+        }
+    }
+
+    /// Returns the instances among which a service's limits are divided.
+    ///
+    /// A service without keys has no leader; the first list known serves for it.
+    fn members(&self, service: &str) -> Option<Arc<members::MemberList>> {
+        let services = self.services.borrow();
+        let own = services
+            .get(service)
+            .and_then(|control| control.members.clone());
+        let mut all = services.values();
+        own.or_else(|| all.find_map(|control| control.members.clone()))
+    }
+
+    /// Answers an ask as the allocator; without a sender it is this instance's own.
+    pub(super) fn answer_ask(
+        self: &Rc<Self>,
+        service: &str,
+        ask: &allocator::PermitAsk,
+        sender: Option<SocketAddr>,
+    ) {
+        let now = self.now();
+        let (answer, notice) = self.allocator.borrow_mut().ask(now, ask);
+        if let Some(notice) = notice {
+            self.send_notice(service, &notice);
+        }
+        match sender {
+            None => self.apply_answer(service, &answer),
+            Some(_) if ask.count == 0 && answer.statement == ask.statement => {}
+            Some(address) => {
+                let content = peer::MessageContent::PermitAnswer(answer);
+                self.send_datagram(service, address, content);
+            }
+        }
+    }
+
+    pub(super) fn apply_answer(&self, service: &str, answer: &allocator::PermitAnswer) {
+        let metrics = &self.context.metrics.fleet;
+        metrics.record_permits(service, answer.delays.len());
+        let service = Arc::from(service);
+        self.context
+            .limits
+            .apply_answer(self.now(), &service, answer);
+    }
+
+    /// Tells all other instances that a limit begins or ends.
+    fn send_notice(&self, service: &str, notice: &allocator::LimitNotice) {
+        let Some(list) = self.members(service) else {
+            return;
+        };
+        let own = self.identity.info.address;
+        for address in list.addresses.iter().filter(|address| **address != own) {
+            let content = peer::MessageContent::LimitNotice(*notice);
+            self.send_datagram(service, *address, content);
+        }
+        self.apply_notice(service, notice);
+    }
+
+    pub(super) fn apply_notice(&self, service: &str, notice: &allocator::LimitNotice) {
+        if self.context.limits.apply_notice(self.now(), notice) {
+            let rate = notice.statement.rate();
+            self.context.log.emit(&events::UpstreamLimit {
+                upstream: self.upstream_id(notice.upstream),
+                service: service.to_owned(),
+                rate: rate.map(limits::RequestRate::per_second),
+                source: events::LimitSource::Allocator,
+            });
+        }
+    }
+
+    fn upstream_id(&self, key: ids::UpstreamKey) -> String {
+        let mirror = self.mirror.borrow();
+        let known = mirror.directory.iter().find(|known| known.key == key);
+        known.map_or_else(|| key.to_string(), |known| known.entry.id.to_string())
+    }
+
+    pub(super) fn members_version(&self, service: &str) -> members::ListVersion {
+        let services = self.services.borrow();
+        let members = services
+            .get(service)
+            .and_then(|control| control.members.as_ref());
+        members.map(|list| list.version).unwrap_or_default()
+    }
+
+    pub(super) fn apply_members(&self, service: &str, list: Arc<members::MemberList>) {
+        let mut services = self.services.borrow_mut();
+        let Some(control) = services.get_mut(service) else {
+            return;
+        };
+        let known = control.members.as_ref();
+        if known.is_some_and(|known| known.version >= list.version) {
+            return;
+        }
+        self.context.log.emit(&events::MembersChanged {
+            service: service.to_owned(),
+            revision: list.version.revision,
+            sequence: list.version.sequence,
+            instances: list.addresses.len(),
+        });
+        control.members = Some(list);
+    }
+
+    /// Notes what a follower's report says of the list of instances.
+    pub(super) fn note_members_report(
+        &self,
+        service: &str,
+        name: &str,
+        known: Option<members::ListVersion>,
+        stopping: bool,
+    ) {
+        let now = self.now();
+        let (address, list) = {
+            let mut services = self.services.borrow_mut();
+            let Some(control) = services.get_mut(service) else {
+                return;
+            };
+            let Some(follower) = control.followers.get_mut(name) else {
+                return;
+            };
+            follower.no_allocator = stopping || known.is_none();
+            let list = control.members.clone();
+            let outdated = list.as_ref().zip(known);
+            let outdated = outdated.is_some_and(|(list, known)| known < list.version);
+            let sent = follower.members_sent;
+            let due = sent.is_none_or(|sent| now >= sent + MEMBERS_RESEND_DELAY);
+            let Some(list) = list.filter(|_| outdated && due) else {
+                return;
+            };
+            follower.members_sent = Some(now);
+            (follower.address, list)
+        };
+        let content = peer::MessageContent::Members(list);
+        let frame = Bytes::from(self.message(service, content).encode());
+        self.send_frame(address, frame);
+    }
+
+    /// Sends all followers a new list if the live instances have changed.
+    pub(super) fn update_members(&self, service: &str) {
+        let now = self.now();
+        let (list, addresses) = {
+            let mut services = self.services.borrow_mut();
+            let Some(control) = services.get_mut(service) else {
+                return;
+            };
+            let Some(revision) = control.core.leader_revision() else {
+                control.leading_since = None;
+                return;
+            };
+            let since = *control.leading_since.get_or_insert(now);
+            if now < since + MEMBERS_SETTLE_TIME {
+                return;
+            }
+            let followers = control.followers.values();
+            let allocators = followers.filter(|follower| !follower.no_allocator);
+            let mut addresses: Vec<SocketAddr> =
+                allocators.map(|follower| follower.address).collect();
+            if !self.context.is_stopping() || addresses.is_empty() {
+                addresses.push(self.identity.info.address);
+            }
+            addresses.sort_unstable();
+            let known = control.members.as_ref();
+            if known.is_some_and(|known| known.addresses == addresses) {
+                return;
+            }
+            let sequence = known.map_or(0, |known| known.version.sequence);
+            let list = Arc::new(members::MemberList {
+                version: members::ListVersion {
+                    revision,
+                    sequence: sequence + 1,
+                },
+                addresses,
+            });
+            for follower in control.followers.values_mut() {
+                follower.members_sent = Some(now);
+            }
+            let followers = control.followers.values();
+            let addresses: Vec<SocketAddr> = followers.map(|follower| follower.address).collect();
+            (list, addresses)
+        };
+        let content = peer::MessageContent::Members(list.clone());
+        let frame = Bytes::from(self.message(service, content).encode());
+        for address in addresses {
+            self.send_frame(address, frame.clone());
+        }
+        self.apply_members(service, list);
+    }
+}
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -63,7 +63,12 @@
         };
         if leading {
             self.handle(service, interface::OwnershipEvent::LoadReported(load));
+            self.handle(
+                service,
+                interface::OwnershipEvent::LimitsUpdated(self.context.limits.rates()),
+            );
             self.count_instances(service);
+            self.update_members(service);
             return;
         }
         let leader = {
@@ -86,10 +91,14 @@
         report: &load::LoadReport,
     ) {
         let known = self.mirror.borrow().record_version(service);
+        let members = Some(self.members_version(service));
+        let stopping = self.context.is_stopping();
         for load in report.split(peer::MAX_REPORT_COUNTS) {
             let content = peer::MessageContent::Report {
                 leading,
                 known,
+                members,
+                stopping,
                 load,
             };
             self.send_datagram(service, address, content);
@@ -174,9 +183,12 @@
             peer::MessageContent::Report {
                 leading,
                 known,
+                members,
+                stopping,
                 load,
             } => {
                 self.note_follower(&service, &message.name, sender);
+                self.note_members_report(&service, &message.name, members, stopping);
                 self.resend_record(&service, &message.name, known);
                 let (name, run) = (message.name, message.run);
                 self.handle(
@@ -218,6 +230,12 @@
                 self.apply_patch(&service, base, version, &patch);
             }
             peer::MessageContent::Changes(relayed) => self.apply_relayed_changes(relayed),
+            peer::MessageContent::Members(list) => self.apply_members(&service, list),
+            peer::MessageContent::PermitAsk(ask) => {
+                self.answer_ask(&service, &ask, Some(sender));
+            }
+            peer::MessageContent::PermitAnswer(answer) => self.apply_answer(&service, &answer),
+            peer::MessageContent::LimitNotice(notice) => self.apply_notice(&service, &notice),
         }
     }
 
@@ -248,6 +266,8 @@
                 sent_version: record::RecordVersion::default(),
                 known_version: record::RecordVersion::default(),
                 behind_since: None,
+                no_allocator: false,
+                members_sent: None,
             };
             let follower = control.followers.entry(name.to_owned()).or_insert_with(new);
             follower.address = sender;
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -254,6 +254,8 @@
                 ),
                 followers: HashMap::new(),
                 last_announced: None,
+                members: None,
+                leading_since: None,
                 tally: context::LoadTally::default(),
             };
             self.services
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -6,6 +6,16 @@
 use crate::ownership::interface;
 use serde::Serialize;
 
+/// From whom an instance learned of a limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitSource {
+    /// A response of the upstream.
+    Response,
+    /// The instance that allocates the limit.
+    Allocator,
+}
+
 macro_rules! state_event {
     ($(#[$doc:meta])* $name:ident, $event:literal, { $($(#[$field_meta:meta])* $field:ident: $kind:ty),* $(,)? }) => {
         $(#[$doc])*
@@ -70,6 +80,21 @@
     /// An upstream in the directory changed.
     UpstreamChanged, "upstream", { id: String, key: ids::UpstreamKey, service: String, change: directory::ChangeKind, revision: u64 }
 }
+state_event! {
+    /// An upstream begins to limit its requests, or ceases to.
+    UpstreamLimit, "upstream-limit", {
+        upstream: String,
+        service: String,
+        /// Requests per second from all instances together; absent once there is no limit.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        rate: Option<f64>,
+        source: LimitSource,
+    }
+}
+state_event! {
+    /// The instances changed among which limits are divided.
+    MembersChanged, "limit-members", { service: String, revision: u64, sequence: u64, instances: usize }
+}
 state_event! {
     /// A decision about the ownership of keys.
     Ownership, "ownership", {
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -9,6 +9,7 @@
 mod wire;
 
 use crate::ids;
+use crate::limits::{allocator, members};
 use crate::ownership::{load, patch, record};
 use crate::store;
 use prost::Message;
@@ -40,6 +41,11 @@
         leading: bool,
         /// Version of the service's record that the sender knows.
         known: record::RecordVersion,
+        /// Version of the list of instances that the sender knows; absent from builds
+        /// that know no such list.
+        members: Option<members::ListVersion>,
+        /// Whether the sender stops and should allocate no limits any more.
+        stopping: bool,
         load: load::LoadReport,
     },
     /// Response of a service's leader to a report, or its probe of an earlier leader.
@@ -67,6 +73,13 @@
     },
     /// Changes of the store, passed on by a relay.
     Changes(RelayedChanges),
+    /// Instances among which the service's leader divides the limits.
+    Members(Arc<members::MemberList>),
+    /// Request for permits, to the allocator of a limit.
+    PermitAsk(allocator::PermitAsk),
+    PermitAnswer(allocator::PermitAnswer),
+    /// A limit begins or ends, as its allocator has learned.
+    LimitNotice(allocator::LimitNotice),
 }
 
 /// Changes of the store since a revision, without ownership records.
@@ -88,6 +101,8 @@
     Record(#[from] record::RecordError),
     #[error("announced patch is dropped: {0}")]
     Patch(#[from] patch::PatchError),
+    #[error("list of instances is not a list of addresses; run one version on all instances")]
+    Members,
 }
 
 impl PeerMessage {
--- a/src/fleet/peer/wire.rs
+++ b/src/fleet/peer/wire.rs
@@ -1,6 +1,9 @@
 //! Protobuf encoding of the messages between instances.
 
+mod limits;
+
 use crate::ids;
+use crate::limits::members;
 use crate::ownership::{load, patch, record};
 use crate::store;
 use std::sync::Arc;
@@ -14,7 +17,7 @@
     run: u64,
     #[prost(string, tag = "3")]
     name: String,
-    #[prost(oneof = "WireContent", tags = "4, 5, 6, 7, 8")]
+    #[prost(oneof = "WireContent", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
     content: Option<WireContent>,
 }
 
@@ -30,6 +33,14 @@
     Patch(WirePatch),
     #[prost(message, tag = "8")]
     Changes(WireChanges),
+    #[prost(message, tag = "9")]
+    Members(limits::WireMembers),
+    #[prost(message, tag = "10")]
+    PermitAsk(limits::WireAsk),
+    #[prost(message, tag = "11")]
+    PermitAnswer(limits::WireAnswer),
+    #[prost(message, tag = "12")]
+    LimitNotice(limits::WireNotice),
 }
 
 /// Buckets with their counts, and owners with their latencies, are parallel lists.
@@ -49,6 +60,10 @@
     sums_ms: Vec<u32>,
     #[prost(message, optional, tag = "7")]
     known: Option<WireVersion>,
+    #[prost(message, optional, tag = "8")]
+    members: Option<WireVersion>,
+    #[prost(bool, tag = "9")]
+    stopping: bool,
 }
 
 impl From<&load::LoadReport> for WireReport {
@@ -62,6 +77,8 @@
             responses: latencies.iter().map(|latency| latency.responses).collect(),
             sums_ms: latencies.iter().map(|latency| latency.sum_ms).collect(),
             known: None,
+            members: None,
+            stopping: false,
         }
     }
 }
@@ -115,6 +132,24 @@
     }
 }
 
+impl From<members::ListVersion> for WireVersion {
+    fn from(version: members::ListVersion) -> WireVersion {
+        WireVersion {
+            revision: version.revision,
+            sequence: version.sequence,
+        }
+    }
+}
+
+impl From<WireVersion> for members::ListVersion {
+    fn from(wire: WireVersion) -> members::ListVersion {
+        members::ListVersion {
+            revision: wire.revision,
+            sequence: wire.sequence,
+        }
+    }
+}
+
 impl From<WireVersion> for record::RecordVersion {
     fn from(wire: WireVersion) -> record::RecordVersion {
         record::RecordVersion {
@@ -221,10 +256,14 @@
             super::MessageContent::Report {
                 leading,
                 known,
+                members,
+                stopping,
                 load,
             } => WireContent::Report(WireReport {
                 leading: *leading,
                 known: Some((*known).into()),
+                members: members.map(WireVersion::from),
+                stopping: *stopping,
                 ..WireReport::from(load)
             }),
             super::MessageContent::Heartbeat {
@@ -252,6 +291,10 @@
                 value: patch.encode(),
             }),
             super::MessageContent::Changes(relayed) => WireContent::Changes(relayed.into()),
+            super::MessageContent::Members(list) => WireContent::Members((&**list).into()),
+            super::MessageContent::PermitAsk(ask) => WireContent::PermitAsk(ask.into()),
+            super::MessageContent::PermitAnswer(answer) => WireContent::PermitAnswer(answer.into()),
+            super::MessageContent::LimitNotice(notice) => WireContent::LimitNotice(notice.into()),
         }
     }
 }
@@ -264,6 +307,8 @@
             WireContent::Report(report) => super::MessageContent::Report {
                 leading: report.leading,
                 known: report.known.unwrap_or_default().into(),
+                members: report.members.map(members::ListVersion::from),
+                stopping: report.stopping,
                 load: report.into(),
             },
             WireContent::Heartbeat(heartbeat) => super::MessageContent::Heartbeat {
@@ -282,6 +327,12 @@
                 patch: Box::new(patch::RecordPatch::decode(&wire.value)?),
             },
             WireContent::Changes(changes) => super::MessageContent::Changes(changes.into()),
+            WireContent::Members(list) => {
+                super::MessageContent::Members(Arc::new(list.try_into()?))
+            }
+            WireContent::PermitAsk(ask) => super::MessageContent::PermitAsk(ask.into()),
+            WireContent::PermitAnswer(answer) => super::MessageContent::PermitAnswer(answer.into()),
+            WireContent::LimitNotice(notice) => super::MessageContent::LimitNotice(notice.into()),
         })
     }
 }
--- a/src/fleet/telemetry.rs
+++ b/src/fleet/telemetry.rs
@@ -42,6 +42,8 @@
     unowned_seconds: Counter<f64>,
     grant_age: Gauge<f64>,
     instances: Gauge<u64>,
+    limits: Gauge<u64>,
+    permits: Counter<u64>,
 }
 
 impl FleetMetrics {
@@ -83,6 +85,14 @@
                 "godwitloom.instances",
                 "Instances that share limits and budgets",
             ),
+            limits: gauge(
+                "godwitloom.upstream.limits",
+                "Upstreams that state a limit on their requests",
+            ),
+            permits: counter(
+                "godwitloom.limit.permits",
+                "Permits received for requests to upstreams that state a limit",
+            ),
         }
     }
 
@@ -132,6 +142,17 @@
         self.unowned_seconds.add(seconds, &service);
     }
 
+    /// Records the number of upstreams that state a limit.
+    pub fn record_limits(&self, limits: usize) {
+        self.limits.record(limits as u64, &[]);
+    }
+
+    /// Counts permits that the allocator of a limit gave to this instance.
+    pub fn record_permits(&self, service: &str, permits: usize) {
+        let service = [KeyValue::new("service", service.to_owned())];
+        self.permits.add(permits as u64, &service);
+    }
+
     /// Records the number of live instances.
     pub fn record_instances(&self, instances: usize) {
         self.instances.record(instances as u64, &[]);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,12 +1,12 @@
 //! Attempts at one request: which upstream gets it, and whether it may be retried.
 
 use crate::event_log;
-use crate::gateway::{caller, choice, context, exchange, pools, progress, response, view};
+use crate::fleet::events;
+use crate::gateway::{caller, context, exchange, pools, progress, response, view};
 use crate::limits;
 use crate::outcome;
 use crate::routing;
 use crate::timer;
-use event_listener::EventListener;
 use serde::Serialize;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,18 +18,12 @@
 /// Time after the deadline for which an upstream's own response is still awaited.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
 
-/// Share of the latency objective for which a request waits for an owner or for capacity.
-const MAX_WAIT_SHARE: f64 = 0.5;
-
 /// Longest wait before a request for a key is retried; ends when the view changes.
 const MAX_OWNER_CHANGE_WAIT: Duration = Duration::from_millis(80);
 
 /// Attempts after which a request is not retried even if the last one certainly did not run it.
 const MAX_UNRUN_ATTEMPTS: usize = 4;
 
-/// Time after the start of draining for which an owner still gets requests for its keys.
-const DRAINING_OWNER_GRACE: Duration = Duration::from_millis(1200);
-
 /// Base of `Retry-After` in a refusal; jitter adds up to as much again.
 const BASE_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -64,45 +58,22 @@
     const CLASS: event_log::EventClass = event_log::EventClass::Request;
 }
 
-/// Log event of an upstream whose responses begin or cease to state a limit.
-#[derive(Debug, Serialize)]
-struct LimitEvent<'a> {
-    /// ID of the upstream.
-    upstream: &'a str,
-    service: &'a str,
-    /// Requests per second from all instances together; absent once there is no limit.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    rate: Option<f64>,
-}
-
-impl event_log::LogEvent for LimitEvent<'_> {
-    const NAME: &'static str = "upstream-limit";
-    const CLASS: event_log::EventClass = event_log::EventClass::State;
-}
-
 /// A request whose route is known.
-struct RoutedRequest<'a> {
-    request: &'a caller::CallerRequest,
-    rule: Arc<routing::RouteRule>,
-    service: Arc<str>,
-    key: Option<u64>,
+pub(super) struct RoutedRequest<'a> {
+    pub(super) request: &'a caller::CallerRequest,
+    pub(super) rule: Arc<routing::RouteRule>,
+    pub(super) service: Arc<str>,
+    pub(super) key: Option<u64>,
     request_id: Option<&'a str>,
     config_version: u64,
     /// End of the caller's or the route's timeout, whichever is shorter.
-    deadline: Instant,
+    pub(super) deadline: Instant,
 }
 
 /// Routes the requests of one traffic thread and makes the attempts at them.
 pub struct AttemptRunner {
-    context: Arc<context::GatewayContext>,
-    pools: Rc<pools::PoolSet>,
-}
-
-/// Why no attempt can be made now, with a listener for when that may change.
-enum WaitReason {
-    NoOwner(EventListener),
-    /// The upstreams that may get the request are at their request limit.
-    AtLimit(EventListener),
+    pub(super) context: Arc<context::GatewayContext>,
+    pub(super) pools: Rc<pools::PoolSet>,
 }
 
 impl AttemptRunner {
@@ -134,7 +105,8 @@
                 (forwarded, None)
             }
             Err(reason) => {
-                let delay = (reason.status() == 503).then(|| retry_after(&routed, reason));
+                let limited = progress.retry_after;
+                let delay = (reason.status() == 503).then(|| retry_after(&routed, reason, limited));
                 (
                     response::CallerResponse::refusal(reason, delay),
                     Some(reason),
@@ -235,7 +207,7 @@
                 timer::within(MAX_OWNER_CHANGE_WAIT, view_changed).await;
             }
             let view_changed = self.context.view_changed.listen();
-            let permit = match self.reserve(routed, &progress.tried).await {
+            let permit = match self.reserve(routed, progress).await {
                 Ok(permit) => permit,
                 Err(reason) => return progress.give_up(reason),
             };
@@ -313,11 +285,12 @@
         if limits.rate(upstream.key).is_some() {
             self.context.metrics.record_limited_attempt(service);
         }
-        if let Some(statement) = limits.note_response(upstream.key, sent, now, statement) {
-            self.context.log.emit(&LimitEvent {
-                upstream: &upstream.id,
-                service,
+        if let Some(statement) = limits.note_response(service, upstream.key, sent, now, statement) {
+            self.context.log.emit(&events::UpstreamLimit {
+                upstream: upstream.id.to_string(),
+                service: service.to_string(),
                 rate: statement.rate().map(limits::RequestRate::per_second),
+                source: events::LimitSource::Response,
             });
         }
     }
@@ -388,76 +361,6 @@
             .record_budget_decision(&routed.service, allowed);
         allowed
     }
-
-    /// Waits until an upstream may get the request.
-    async fn reserve(
-        &self,
-        routed: &RoutedRequest<'_>,
-        tried: &choice::TriedList,
-    ) -> Result<pools::PoolPermit, response::RefusalReason> {
-        let wait = routed.rule.latency_objective.mul_f64(MAX_WAIT_SHARE);
-        let until = (Instant::now() + wait).min(routed.deadline);
-        loop {
-            let reason = match self.try_reserve(routed, tried)? {
-                Ok(permit) => return Ok(permit),
-                Err(reason) => reason,
-            };
-            let cutoff = self.context.attempt_cutoff();
-            let until = cutoff.map_or(until, |cutoff| until.min(cutoff));
-            let left = until.saturating_duration_since(Instant::now());
-            let (listener, refusal) = match reason {
-                WaitReason::NoOwner(listener) => (listener, response::RefusalReason::NoOwner),
-                WaitReason::AtLimit(listener) => (listener, response::RefusalReason::Overloaded),
-            };
-            if left.is_zero() || timer::within(left, listener).await.is_none() {
-                return Err(refusal);
-            }
-        }
-    }
-
-    /// Returns a permit or a reason to wait; fails if waiting cannot help.
-    fn try_reserve(
-        &self,
-        routed: &RoutedRequest<'_>,
-        tried: &choice::TriedList,
-    ) -> Result<Result<pools::PoolPermit, WaitReason>, response::RefusalReason> {
-        let view_changed = self.context.view_changed.listen();
-        let view = self.context.view.load();
-        let service = view.services.get(&routed.service);
-        let service = service.ok_or(response::RefusalReason::NoUpstream)?;
-        let now = self.context.clock.now();
-        let Some(key) = routed.key else {
-            let any_freed = self.pools.listen();
-            let input = choice::ChoiceInput {
-                tried,
-                body_bytes: routed.request.body.len(),
-                latency_objective: routed.rule.latency_objective,
-                boot_now: now,
-            };
-            let choice = choice::choose(&self.pools, service, view.instances, &input);
-            return match choice {
-                choice::Choice::Found(permit) => Ok(Ok(permit)),
-                choice::Choice::AtLimit => Ok(Err(WaitReason::AtLimit(any_freed))),
-                choice::Choice::NoneUsable => Err(response::RefusalReason::NoUpstream),
-            };
-        };
-        let view::KeyOwner::Upstream(owner) = service.owner(key) else {
-            return Ok(Err(WaitReason::NoOwner(view_changed)));
-        };
-        let pool = self.pools.get(&owner);
-        let freed = pool.listen();
-        let drained = |since: Duration| now >= since + DRAINING_OWNER_GRACE;
-        if owner.draining_since.is_some_and(drained) || pool.is_ejected(Instant::now()) {
-            return Ok(Err(WaitReason::NoOwner(view_changed)));
-        }
-        let objective = routed.rule.latency_objective;
-        let instances = view.instances;
-        let limit = choice::request_limit(&pool, owner.slots, instances, objective, Instant::now());
-        if pool.in_flight() >= limit {
-            return Ok(Err(WaitReason::AtLimit(freed)));
-        }
-        Ok(Ok(self.pools.acquire(&pool)))
-    }
 }
 
 fn record_error(pool: &pools::UpstreamPool, error: &exchange::ExchangeError, elapsed: Duration) {
@@ -492,11 +395,19 @@
 }
 
 /// Returns the `Retry-After` of a refusal.
-fn retry_after(routed: &RoutedRequest<'_>, reason: response::RefusalReason) -> Duration {
+///
+/// `limited` is the time after which an upstream's limit may allow the request.
+fn retry_after(
+    routed: &RoutedRequest<'_>,
+    reason: response::RefusalReason,
+    limited: Option<Duration>,
+) -> Duration {
     let left = routed.deadline.saturating_duration_since(Instant::now());
+    let jittered = BASE_RETRY_AFTER + BASE_RETRY_AFTER.mul_f64(fastrand::f64());
     let delay = match reason {
         response::RefusalReason::NoOwner => NO_OWNER_RETRY_AFTER,
-        _ => BASE_RETRY_AFTER + BASE_RETRY_AFTER.mul_f64(fastrand::f64()),
+        response::RefusalReason::RateLimited => limited.unwrap_or(jittered),
+        _ => jittered,
     };
     delay
         .min(left.mul_f64(MAX_RETRY_AFTER_SHARE))
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::{pools, view};
 use crate::ids;
+use crate::limits::table;
 use smallvec::SmallVec;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +31,9 @@
 /// Factor on the cost of an upstream that is still warming up.
 const WARMUP_FACTOR: f64 = 2.0;
 
+/// Factor on the cost of an upstream that states a limit, which costs a permit.
+const LIMITED_FACTOR: f64 = 1.5;
+
 /// Weight of the failure rate in the cost of an upstream.
 const FAILURE_WEIGHT: f64 = 10.0;
 
@@ -40,6 +44,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceInput<'a> {
     pub tried: &'a TriedList,
+    /// Upstreams whose limit allows no attempt at this request.
+    pub limited: &'a TriedList,
+    /// Limits that upstreams state.
+    pub limits: &'a table::LimitTable,
     /// Length of the request's body, in bytes.
     pub body_bytes: usize,
     /// Latency objective of the route.
@@ -48,12 +56,20 @@
     pub boot_now: Duration,
 }
 
+impl ChoiceInput<'_> {
+    fn is_rate_limited(&self, upstream: ids::UpstreamKey) -> bool {
+        self.limited.contains(&upstream) || self.limits.is_refusing(self.boot_now, upstream)
+    }
+}
+
 /// Result of [`choose`].
 #[derive(Debug)]
 pub enum Choice {
     Found(pools::PoolPermit),
     /// Every usable upstream is at its request limit.
     AtLimit,
+    /// The limits that the usable upstreams state allow no request now.
+    RateLimited,
     /// Every upstream is draining or was already tried.
     NoneUsable,
 }
@@ -94,6 +110,13 @@
     if candidates.is_empty() {
         return Choice::NoneUsable;
     }
+    let candidates: SmallVec<[Rc<pools::UpstreamPool>; 16]> = candidates
+        .into_iter()
+        .filter(|pool| !request.is_rate_limited(pool.view.borrow().key))
+        .collect();
+    if candidates.is_empty() {
+        return Choice::RateLimited;
+    }
     let any_healthy = candidates.iter().any(|pool| !pool.is_ejected(now));
     let mean = mean_latency(&candidates, now);
     let mut best: Option<(f64, &Rc<pools::UpstreamPool>)> = None;
@@ -146,8 +169,12 @@
     } else {
         1.0
     };
+    let limited = match request.limits.rate(view.key) {
+        Some(_) => LIMITED_FACTOR,
+        None => 1.0,
+    };
     let failures = 1.0 + FAILURE_WEIGHT * pool.failure_rate(now);
     let jitter = 1.0 + fastrand::f64() * 0.1;
     let queue = (pool.in_flight() + 1) as f64;
-    queue * latency.max(0.001) * zone * warmup * failures * jitter
+    queue * latency.max(0.001) * zone * warmup * limited * failures * jitter
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! ```text
 //! caller::CallerConnection    reads requests and writes responses in their order
 //! attempts::AttemptRunner     routes a request and makes the attempts at it
+//!   reservation               waits for an upstream that may get the request
 //!   choice::choose            selects the upstream of an attempt
 //!   exchange::exchange        sends the request and reads the whole response
 //! ```
@@ -19,6 +20,7 @@
 pub mod header_names;
 pub mod pools;
 pub mod progress;
+mod reservation;
 pub mod response;
 pub mod thread;
 pub mod view;
--- a/src/gateway/progress.rs
+++ b/src/gateway/progress.rs
@@ -1,6 +1,7 @@
 //! State of one request across its attempts.
 
 use crate::gateway::{choice, exchange, response, view};
+use crate::ids;
 use crate::outcome;
 use event_listener::EventListener;
 use serde::Serialize;
@@ -30,6 +31,10 @@
 pub struct AttemptProgress {
     pub traces: SmallVec<[AttemptTrace; 4]>,
     pub tried: choice::TriedList,
+    /// Upstreams whose limit allowed no attempt now.
+    pub limited: choice::TriedList,
+    /// Shortest time after which one of them may allow an attempt.
+    pub retry_after: Option<Duration>,
     /// Number of attempts in which the request ran or may have run.
     pub possible_runs: u32,
     /// Last response with a 5xx status.
@@ -53,6 +58,13 @@
         });
     }
 
+    /// Notes that an upstream's limit allows no attempt for `retry_after`.
+    pub fn note_limited(&mut self, upstream: ids::UpstreamKey, retry_after: Duration) {
+        self.limited.push(upstream);
+        let shortest = self.retry_after.unwrap_or(Duration::MAX).min(retry_after);
+        self.retry_after = Some(shortest);
+    }
+
     /// Ends the request with an earlier 5xx response of an upstream, or with a refusal.
     ///
     /// If the request may have run, a 503, which promises that it did not, becomes
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -38,6 +38,8 @@
     NoOwner,
     /// All usable upstreams are at their request limit.
     Overloaded,
+    /// The upstreams that may get the request have reached the limit that they state.
+    RateLimited,
     /// Upstreams refused the request or could not be reached; it did not run.
     Refused,
     /// The deadline passed before the request was sent.
@@ -61,6 +63,7 @@
             | RefusalReason::NoUpstream
             | RefusalReason::NoOwner
             | RefusalReason::Overloaded
+            | RefusalReason::RateLimited
             | RefusalReason::Refused
             | RefusalReason::ExpiredUnsent => 503,
             RefusalReason::LostResponse => 502,
@@ -81,6 +84,7 @@
             RefusalReason::NoUpstream => "no-upstream",
             RefusalReason::NoOwner => "no-owner",
             RefusalReason::Overloaded => "overloaded",
+            RefusalReason::RateLimited => "rate-limited",
             RefusalReason::Refused => "refused",
             RefusalReason::ExpiredUnsent => "expired-unsent",
             RefusalReason::LostResponse => "lost-answer",
--- a/src/gateway/thread.rs
+++ b/src/gateway/thread.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::{attempts, caller, context, pools};
 use crate::h1::socket;
+use crate::ids;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use std::io;
@@ -82,6 +83,12 @@
 async fn trim(context: Arc<context::GatewayContext>, pools: Rc<pools::PoolSet>) {
     loop {
         Timer::after(TRIM_INTERVAL).await;
-        pools.trim(&context.view.load());
+        let view = context.view.load();
+        pools.trim(&view);
+        let known = |key: &ids::UpstreamKey| {
+            let mut services = view.services.values();
+            services.any(|service| service.upstream(*key).is_some())
+        };
+        context.limits.retain(known);
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -26,6 +26,7 @@
     attempts: Counter<u64>,
     budget_decisions: Counter<u64>,
     limited_attempts: Counter<u64>,
+    limit_refusals: Counter<u64>,
     pub control: ControlMetrics,
     pub fleet: telemetry::FleetMetrics,
 }
@@ -104,6 +105,10 @@
                 .u64_counter("godwitloom.limited.attempts")
                 .with_description("Attempts at upstreams that state a limit")
                 .build(),
+            limit_refusals: meter
+                .u64_counter("godwitloom.limit.refusals")
+                .with_description("Attempts that the limit of an upstream did not allow")
+                .build(),
             control: ControlMetrics::new(&meter),
             fleet: telemetry::FleetMetrics::new(&meter),
             _provider: provider,
@@ -142,6 +147,13 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a request that an upstream's limit did not allow, or that got no answer
+    /// from the limit's allocator.
+    pub fn record_limit_refusal(&self, service: &str, result: &'static str) {
+        self.limit_refusals
+            .add(1, &labels(service, "result", result));
+    }
+
     pub fn record_retry(&self, service: &str) {
         self.retries
             .add(1, &[KeyValue::new("service", service.to_owned())]);
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -5,6 +5,7 @@
 mod plan;
 
 use crate::ids;
+use crate::limits;
 use crate::ownership::{assignment, candidates, interface, leadership, load, record};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -55,6 +56,7 @@
     dirty_since: Option<Duration>,
     load: load::LoadMap,
     latency: load::LatencyTable,
+    limits: BTreeMap<ids::UpstreamKey, limits::RequestRate>,
     rebalanced_at: Duration,
     planned_at: Duration,
     probed_at: Duration,
@@ -89,6 +91,7 @@
             dirty_since: None,
             load: load::LoadMap::new(settings.last_key),
             latency: load::LatencyTable::default(),
+            limits: BTreeMap::new(),
             rebalanced_at: Duration::ZERO,
             planned_at: Duration::ZERO,
             probed_at: Duration::ZERO,
@@ -192,6 +195,7 @@
                 self.load.add(&report.counts);
                 self.latency.add(&report.latencies);
             }
+            interface::OwnershipEvent::LimitsUpdated(limits) => self.limits = limits,
             interface::OwnershipEvent::LeaseOpened { sent, lease } => {
                 self.on_lease_opened(now, sent, lease, &mut actions);
             }
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -237,11 +237,16 @@
         let capacities = candidates.usable().map(|candidate| {
             let key = candidate.info.key;
             let latency = self.latency.latency(key).as_secs_f32();
-            let count_time = load::LoadMap::mean_count_time().as_secs_f32();
-            rebalancing::OwnerCapacity {
+            let count_time = load::LoadMap::mean_count_time();
+            let capacity = rebalancing::OwnerCapacity {
                 key,
                 capacity: candidate.capacity(now) / self.latency.slowness(key),
-                slot_share_per_count: latency / count_time / candidate.slots.max(1) as f32,
+                use_per_count: latency / count_time.as_secs_f32() / candidate.slots.max(1) as f32,
+                is_limited: false,
+            };
+            match self.limits.get(&key) {
+                Some(rate) => capacity.limited(*rate, self.latency.mean()),
+                None => capacity,
             }
         });
         let mut loads = rebalancing::OwnerLoads::new(capacities, assignments, &self.load);
--- a/src/ownership/interface.rs
+++ b/src/ownership/interface.rs
@@ -1,9 +1,11 @@
 //! Input and output of the ownership core: settings, events and actions.
 
 use crate::ids;
+use crate::limits;
 use crate::ownership::{assignment, candidates, load, record};
 use crate::range;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Settings of one service's ownership.
@@ -93,6 +95,8 @@
     StoreUpdated(StoreView),
     CandidatesUpdated(candidates::CandidateTable),
     LoadReported(load::LoadReport),
+    /// Limits that upstreams state on the requests from all instances together.
+    LimitsUpdated(BTreeMap<ids::UpstreamKey, limits::RequestRate>),
     LeaseOpened {
         /// When the call was sent.
         sent: Duration,
--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -93,6 +93,13 @@
         Duration::from_secs_f32(average.max(0.0) / 1000.0)
     }
 
+    /// Returns the mean latency of all owners; zero if none is known.
+    pub fn mean(&self) -> Duration {
+        let count = self.averages.len().max(1) as f32;
+        let mean = self.averages.values().sum::<f32>() / count;
+        Duration::from_secs_f32(mean.max(0.0) / 1000.0)
+    }
+
     /// Removes all other owners than those to keep.
     pub fn retain(&mut self, keep: impl Fn(ids::UpstreamKey) -> bool) {
         self.averages.retain(|owner, _| keep(*owner));
--- a/src/ownership/rebalancing.rs
+++ b/src/ownership/rebalancing.rs
@@ -5,6 +5,7 @@
 //! moves to the least loaded upstream.
 
 use crate::ids;
+use crate::limits;
 use crate::ownership::{assignment, load};
 use crate::range;
 use std::collections::BTreeMap;
@@ -22,14 +23,20 @@
 /// Ratio of an owner's load to its fair share above which it counts as overloaded.
 const OVERLOAD_RATIO: f32 = 1.35;
 
-/// Share of an owner's slots in use up to which it does not count as overloaded.
-const MIN_SLOT_USE: f32 = 0.6;
+/// Share of an owner's slots or limit in use up to which it does not count as overloaded.
+const MIN_USE: f32 = 0.6;
 
 /// Standard deviations by which a load must exceed the fair share.
 ///
 /// A smaller excess may be chance.
 const MIN_DEVIATIONS: f32 = 2.5;
 
+/// [`MIN_DEVIATIONS`] of an owner that states a limit.
+const MIN_LIMITED_DEVIATIONS: f32 = 1.0;
+
+/// Least capacity of an upstream that states a limit.
+const MIN_CAPACITY: f32 = 0.05;
+
 /// Counted requests of the whole service below which no range moves for its load.
 const MIN_TOTAL_LOAD: f32 = 60.0;
 
@@ -58,15 +65,35 @@
     pub key: ids::UpstreamKey,
     /// Load that it can take, relative to other upstreams.
     pub capacity: f32,
-    /// Share of its slots that each unit of counted load keeps busy.
-    pub slot_share_per_count: f32,
+    /// Share of its slots, or of its limit, that each unit of counted load uses.
+    pub use_per_count: f32,
+    /// Whether it states a limit on its requests.
+    pub is_limited: bool,
+}
+
+impl OwnerCapacity {
+    /// Returns the capacity of the upstream under a limit that it states.
+    ///
+    /// `mean_latency` is that of all owners, to which capacities refer.
+    pub fn limited(self, rate: limits::RequestRate, mean_latency: Duration) -> OwnerCapacity {
+        let per_second = rate.per_second() as f32;
+        let count_time = load::LoadMap::mean_count_time().as_secs_f32();
+        let slots = per_second * mean_latency.as_secs_f32();
+        OwnerCapacity {
+            capacity: self.capacity.min(slots.max(MIN_CAPACITY)),
+            use_per_count: self.use_per_count.max(1.0 / (per_second * count_time)),
+            is_limited: true,
+            ..self
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct OwnerLoad {
     load: f32,
     capacity: f32,
-    slot_share_per_count: f32,
+    use_per_count: f32,
+    is_limited: bool,
     range_count: usize,
 }
 
@@ -92,7 +119,8 @@
         let entry = |owner: OwnerCapacity| OwnerLoad {
             load: 0.0,
             capacity: owner.capacity,
-            slot_share_per_count: owner.slot_share_per_count,
+            use_per_count: owner.use_per_count,
+            is_limited: owner.is_limited,
             range_count: 0,
         };
         let mut entries: BTreeMap<_, _> =
@@ -253,14 +281,19 @@
     for from in loads.by_descending_load() {
         let source = loads.entries[&from];
         let fair_share = mean * source.capacity;
-        let deviation = MIN_DEVIATIONS * fair_share.max(1.0).sqrt();
+        // What exceeds a limit is refused, while other owners only become slower.
+        let deviations = match source.is_limited {
+            true => MIN_LIMITED_DEVIATIONS,
+            false => MIN_DEVIATIONS,
+        };
+        let deviation = deviations * fair_share.max(1.0).sqrt();
         let overloaded = source.load > (fair_share * OVERLOAD_RATIO).max(fair_share + deviation)
-            && source.load * source.slot_share_per_count > MIN_SLOT_USE;
+            && source.load * source.use_per_count > MIN_USE;
         // An upstream without ranges, which has just joined, gets its share even if no
         // owner is overloaded.
         let joins = target.range_count == 0;
         if from == to || !(overloaded || joins) {
-            return None;
+            continue;
         }
         let excess = source.load - fair_share;
         let amount = if joins {
