--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -235,3 +235,34 @@
     assert_eq!(ended, Some(unlimited));
     assert!(table.is_empty());
 }
+
+/// Bytes of the IP and UDP headers of a datagram.
+const DATAGRAM_HEADER_BYTES: usize = 28;
+
+/// `docs/CAPACITY.md` derives the cost of limits at 670 instances from these sizes.
+#[test]
+fn messages_about_limits_are_small() {
+    let size = |content| {
+        let message = PeerMessage {
+            service: "tagtrack".to_owned(),
+            run: ids::InstanceKey(u64::MAX),
+            name: "edge-padania-c-1".to_owned(),
+            content,
+        };
+        message.encode().len()
+    };
+    let mut asked = ask(limited(4), 1);
+    asked.age = Duration::from_secs(2);
+    let (answer, _) = LimitAllocator::default().ask(START, &asked);
+    let ask_bytes = size(MessageContent::PermitAsk(asked)) + DATAGRAM_HEADER_BYTES;
+    let answer_bytes = size(MessageContent::PermitAnswer(answer)) + DATAGRAM_HEADER_BYTES;
+    let mut list = member_list(0);
+    list.addresses = (0..670u16)
+        .map(|index| SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 7620)))
+        .collect();
+    let list_bytes = size(MessageContent::Members(Arc::new(list)));
+    println!("ask {ask_bytes}, answer {answer_bytes}, list of 670 {list_bytes} bytes");
+    assert!(ask_bytes <= 100, "{ask_bytes}");
+    assert!(answer_bytes <= 100, "{answer_bytes}");
+    assert!(list_bytes <= 4200, "{list_bytes}");
+}
