--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -65,8 +65,9 @@
     RelayLost, "relay-lost", { as_of: u64 }
 }
 state_event! {
-    /// All items of the store were read.
-    StoreListed, "store-listed", { items: usize, as_of: u64 }
+    /// All items of the store were read; `ignored` counts those that are older than what
+    /// is known.
+    StoreListed, "store-listed", { items: usize, ignored: usize, as_of: u64 }
 }
 state_event! {
     /// A configuration came into force.
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -134,8 +134,14 @@
 
     /// Applies a complete listing.
     pub fn apply_listing(&mut self, now: Duration, listing: store::StoreListing) -> MirrorEffect {
+        let is_older = |item: &&store::StoredItem| {
+            self.revisions
+                .get(&item.key)
+                .is_some_and(|known| item.revision < *known)
+        };
         self.log.emit(&events::StoreListed {
             items: listing.items.len(),
+            ignored: listing.items.iter().filter(is_older).count(),
             as_of: listing.as_of,
         });
         let mut effect = MirrorEffect::default();
