Take no older entry of an upstream's run for a newer one

A store that returns from an older copy has the entries of upstreams from before they began to drain or left. They counted as ready again until they wrote their entries anew. Its test fails without the comparison.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -4,6 +4,10 @@
 //! still run. An upstream whose entry is deleted shortly after the store responds
 //! again is therefore kept until [`REREGISTRATION_GRACE`] is over; at any other
 //! time it is removed at once.
+//!
+//! A store that returns from an older copy has older entries. The number of its
+//! heartbeats tells an older entry of a run from a newer one, so that an upstream
+//! that drains or has left does not count as ready again.
 
 use crate::ids;
 use serde::Serialize;
@@ -15,6 +19,10 @@
 /// Time after an outage of the store that running upstreams need to register again.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
+/// Time for which the last entry of an upstream that left is remembered; longer than a
+/// copy of the store is old.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// Whether an upstream takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpstreamState {
@@ -36,6 +44,8 @@
     /// Most requests that it runs concurrently.
     pub slots: u32,
     pub state: UpstreamState,
+    /// Number of its heartbeats when it wrote the entry.
+    pub sequence: u64,
     /// Time for which it is still slow after its start, counted from the entry's writing.
     pub warmup: Duration,
 }
@@ -97,6 +107,8 @@
 pub struct UpstreamDirectory {
     /// By ID, since only one run at a time is registered under an ID.
     upstreams: BTreeMap<Arc<str>, KnownUpstream>,
+    /// Sequence of the last entry of each run that left, and when it did.
+    departed: BTreeMap<ids::UpstreamKey, (u64, Duration)>,
     /// When the store last responded again after an outage.
     store_regained: Option<Duration>,
 }
@@ -119,6 +131,14 @@
         let mut changes = Vec::new();
         let known = self.upstreams.get(&entry.id);
         let known = known.filter(|known| known.key == key).cloned();
+        let newest = known.as_ref().map(|known| known.entry.sequence);
+        let departed = self.departed.get(&key).map(|(sequence, _)| *sequence);
+        if newest
+            .or(departed)
+            .is_some_and(|newest| entry.sequence < newest)
+        {
+            return Vec::new();
+        }
         match &known {
             None => {
                 if let Some(former) = self.upstreams.get(&entry.id) {
@@ -175,6 +195,7 @@
             return Some(DirectoryChange::new(&known.entry, ChangeKind::Missing));
         }
         let known = self.upstreams.remove(id)?;
+        self.departed.insert(known.key, (known.entry.sequence, now));
         Some(DirectoryChange::new(&known.entry, ChangeKind::Removed))
     }
 
@@ -194,6 +215,8 @@
 
     /// Removes missing upstreams that did not register again in time.
     pub fn expire(&mut self, now: Duration) -> Vec<DirectoryChange> {
+        self.departed
+            .retain(|_, (_, left_at)| now < *left_at + DEPARTED_RETENTION);
         let Some(regained) = self.store_regained else {
             return Vec::new();
         };
--- a/standins/src/ownership/upstream.rs
+++ b/standins/src/ownership/upstream.rs
@@ -115,6 +115,7 @@
                 true => directory::UpstreamState::Draining,
                 false => directory::UpstreamState::Ready,
             },
+            sequence: 1,
             warmup: Duration::ZERO,
         }
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -58,6 +58,7 @@
         zone: "yqr".into(),
         slots: 4,
         state,
+        sequence: 1,
         warmup: Duration::ZERO,
     }
 }
@@ -128,3 +129,29 @@
         .collect();
     assert_eq!(left, ["two"]);
 }
+
+/// Entries of a run before it began to drain, from a store that returned from a copy.
+#[test]
+fn an_upstream_that_drains_or_has_left_is_not_ready_again_by_an_older_entry() {
+    let mut directory = UpstreamDirectory::default();
+    let older = ready("one", 1, 1);
+    directory.put(NOW, older.clone());
+    let draining = UpstreamEntry {
+        sequence: 2,
+        ..entry("one", 1, 1, UpstreamState::Draining)
+    };
+    directory.put(NOW, draining);
+    directory.note_store_regained(NOW);
+    assert!(directory.put(NOW, older.clone()).is_empty());
+    let draining = directory.iter().all(|known| known.draining_since.is_some());
+    assert!(draining);
+    directory.remove(NOW, "one");
+    assert!(directory.put(NOW, older).is_empty());
+    assert_eq!(directory.iter().count(), 0);
+    let newer = UpstreamEntry {
+        sequence: 3,
+        ..ready("one", 1, 1)
+    };
+    let changes = directory.put(NOW, newer);
+    assert_eq!(changes.len(), 1, "a later entry shows that the run goes on");
+}
