Answer what an upstream holds before a stopping instance ends

Callers whose request an upstream held without a response saw their connection closed at the end of a graceful stop, 5 s after SIGTERM. Cause: an exchange waits until the route's timeout, and the process ended before.

--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -189,6 +189,9 @@
     context.close_idle.notify(usize::MAX);
     Timer::after(CLOSE_GRACE).await;
     while in_flight() > 0 || !control.is_finished() {
+        if started.elapsed() >= context.settings.response_cutoff {
+            context.end_attempts.notify(usize::MAX);
+        }
         if started.elapsed() >= settings.stop_timeout {
             break;
         }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,6 +7,7 @@
 use crate::outcome;
 use crate::routing;
 use crate::timer;
+use futures_lite::future;
 use serde::Serialize;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -248,8 +249,17 @@
             slack: TIMEOUT_SLACK,
         };
         let sent = self.context.clock.now();
-        let exchange::FinishedExchange { result, statement } =
-            exchange::exchange(pool, &self.context.header_names, &outgoing).await;
+        // A stopping process must still answer the caller before it ends.
+        let stop = self.context.end_attempts.listen();
+        let ended = async {
+            stop.await;
+            exchange::FinishedExchange {
+                result: Err(exchange::ExchangeError::Timeout),
+                statement: None,
+            }
+        };
+        let exchange = exchange::exchange(pool, &self.context.header_names, &outgoing);
+        let exchange::FinishedExchange { result, statement } = future::or(exchange, ended).await;
         let elapsed = started.elapsed();
         let upstream = pool.view.borrow().clone();
         if let Some(statement) = statement {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -23,6 +23,8 @@
     pub lame_duck: Duration,
     /// Time from the start of a graceful stop after which no attempt starts.
     pub attempt_cutoff: Duration,
+    /// Time from the start of a graceful stop after which no response is awaited any more.
+    pub response_cutoff: Duration,
     /// Ratio of retries to requests that the retry budget allows in the long run.
     pub retry_ratio: f64,
     /// Retries that all instances together may send at once.
@@ -46,6 +48,8 @@
     stopping_since: OnceLock<Instant>,
     /// Notified at the end of the lame-duck period, when idle connections are closed.
     pub close_idle: Event,
+    /// Notified when no response of an upstream is awaited any more.
+    pub end_attempts: Event,
     retry_budgets: Mutex<HashMap<Arc<str>, Arc<budget::RetryBudget>>>,
     tallies: Mutex<HashMap<Arc<str>, LoadTally>>,
 }
@@ -113,6 +117,7 @@
             in_flight: AtomicUsize::new(0),
             stopping_since: OnceLock::new(),
             close_idle: Event::new(),
+            end_attempts: Event::new(),
             retry_budgets: Mutex::default(),
             tallies: Mutex::default(),
         }
