Give up responses that have no end

An upstream that sends bytes without end, in interim responses, in responses to other requests, in trailers or in a body without a length, kept the traffic thread busy: callers of that thread waited up to 8.5 s past a deadline of 2 s, since a socket that always has bytes never gave way to a timer, and eight such bodies took 73 MB. Now interim responses, responses to others, trailers and bodies without a length are bounded, and a connection gives way to others after 16 reads.

The head was bounded already. Chunked bodies stay bounded at 16 MB each.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,6 +22,9 @@
 /// Longest body of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Most responses to other requests that are skipped; an upstream may send them without end.
+const MAX_OTHER_RESPONSES: usize = 8;
+
 /// Time for which a response is still awaited after a write of the request failed.
 const EARLY_RESPONSE_WAIT: Duration = Duration::from_millis(100);
 
@@ -250,7 +253,7 @@
         written: written.get(),
         source,
     };
-    loop {
+    for _ in 0..=MAX_OTHER_RESPONSES {
         let head = reader.response_head(&request.head.method).await;
         let head = head.map_err(broken)?;
         let body = reader.body(head.framing, MAX_RESPONSE_BYTES).await;
@@ -264,9 +267,10 @@
             return Ok(UpstreamResponse { head, body });
         }
         if head.framing == h1::body::BodyFraming::UntilClose {
-            return Err(ExchangeError::Unusable);
+            break;
         }
     }
+    Err(ExchangeError::Unusable)
 }
 
 /// Turns refusals and unusable responses into errors.
--- a/src/h1/body.rs
+++ b/src/h1/body.rs
@@ -6,6 +6,9 @@
 /// Longest line of a chunk size or trailer field, in bytes.
 const MAX_LINE_BYTES: usize = 4096;
 
+/// Longest trailer section, in bytes; a peer may send fields without end.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFraming {
@@ -30,6 +33,8 @@
     state: ChunkState,
     body: BytesMut,
     limit: usize,
+    /// Bytes of the trailer fields so far.
+    trailer_bytes: usize,
 }
 
 impl ChunkDecoder {
@@ -39,6 +44,7 @@
             state: ChunkState::Size,
             body: BytesMut::new(),
             limit,
+            trailer_bytes: 0,
         }
     }
 
@@ -86,7 +92,12 @@
                 ChunkState::Trailer => match take_line(buffer)? {
                     None => return Ok(None),
                     Some(0) => return Ok(Some(self.body.split().freeze())),
-                    Some(_) => {}
+                    Some(length) => {
+                        self.trailer_bytes += length;
+                        if self.trailer_bytes > MAX_TRAILER_BYTES {
+                            return Err(h1::ReadError::Malformed("trailers are too long"));
+                        }
+                    }
                 },
             }
         }
--- a/src/h1/reader.rs
+++ b/src/h1/reader.rs
@@ -19,11 +19,24 @@
 /// Longest head of a response, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Most interim responses before a response; a peer may send them without end.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
+/// Longest body that ends with its connection, in bytes.
+///
+/// Shorter than others, as it may be without end and nothing declares its length.
+const MAX_UNFRAMED_BYTES: usize = 4 << 20;
+
+/// Reads without a pause after which other connections get their turn.
+const READS_PER_TURN: u32 = 16;
+
 /// Buffered reading side of a connection.
 #[derive(Debug)]
 pub struct MessageReader {
     socket: socket::SharedSocket,
     buffer: BytesMut,
+    /// Reads since other connections got their turn.
+    reads: u32,
 }
 
 impl MessageReader {
@@ -32,6 +45,7 @@
         MessageReader {
             socket,
             buffer: BytesMut::new(),
+            reads: 0,
         }
     }
 
@@ -49,6 +63,11 @@
     /// Bytes pass through one scratch buffer per thread, so that idle connections
     /// hold no memory.
     async fn fill(&mut self) -> Result<usize, h1::ReadError> {
+        self.reads += 1;
+        if self.reads >= READS_PER_TURN {
+            self.reads = 0;
+            future::yield_now().await;
+        }
         let count = future::poll_fn(|cx| {
             SCRATCH.with_borrow_mut(|scratch| {
                 let mut socket = &*self.socket;
@@ -97,6 +116,7 @@
         &mut self,
         method: &str,
     ) -> Result<head::ResponseHead, h1::ReadError> {
+        let mut interim = 0;
         loop {
             if has_head(&self.buffer) {
                 let raw = self.take_head();
@@ -105,6 +125,10 @@
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim += 1;
+                if interim > MAX_INTERIM_RESPONSES {
+                    return Err(h1::ReadError::Malformed("too many interim responses"));
+                }
                 continue;
             }
             if self.buffer.len() > MAX_RESPONSE_HEAD_BYTES {
@@ -131,14 +155,17 @@
                     self.fill_or_fail().await?;
                 }
             }
-            body::BodyFraming::UntilClose => loop {
-                if self.buffer.len() > limit {
-                    return Err(h1::ReadError::BodyTooLarge(limit));
-                }
-                if self.fill().await? == 0 {
-                    return Ok(self.buffer.split().freeze());
+            body::BodyFraming::UntilClose => {
+                let limit = limit.min(MAX_UNFRAMED_BYTES);
+                loop {
+                    if self.buffer.len() > limit {
+                        return Err(h1::ReadError::BodyTooLarge(limit));
+                    }
+                    if self.fill().await? == 0 {
+                        return Ok(self.buffer.split().freeze());
+                    }
                 }
-            },
+            }
         }
     }
 
