Raise the fencing tokens of moves in progress in a new era

Cause: a claim keeps the token of a range with former owners, so that its new owner sees the same grant again; in a restored record that token may be below what was given since. Tokens of an earlier era are now raised in any case.

--- a/src/ownership/core/election.rs
+++ b/src/ownership/core/election.rs
@@ -333,18 +333,18 @@
     }
 }
 
-/// Gives every range without former owners a fencing token that predecessors cannot use.
+/// Gives ranges a fencing token that predecessors cannot use.
 ///
 /// Once the owner has acknowledged it, the owner refuses the predecessors' renewals.
+/// A range with former owners keeps its token, unless that is of an earlier era: other
+/// upstreams may have had the range under higher ones that the store lost.
 pub(super) fn raise_fences(record: &mut record::OwnershipRecord) {
-    record.next_fence = record
-        .next_fence
-        .max(leadership::first_fence_of(record.era));
+    let first_fence = leadership::first_fence_of(record.era);
+    record.next_fence = record.next_fence.max(first_fence);
     for assignment in &mut record.assignments {
-        assignment.fence = match assignment.former_owners.is_empty() {
-            true => record.next_fence,
-            false => assignment.fence,
-        };
+        if assignment.former_owners.is_empty() || assignment.fence < first_fence {
+            assignment.fence = record.next_fence;
+        }
         record.next_fence += 1;
     }
 }
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -790,3 +790,20 @@
     driver.feed(OwnershipEvent::Superseded { position });
     assert!(!driver.core.is_leading());
 }
+
+/// A move that was in progress when the copy was made may have been followed by others.
+#[test]
+fn fencing_tokens_of_moves_in_progress_are_raised_in_a_new_era() {
+    let mut record = record_of_other_leader(true);
+    let former = record::FormerOwner {
+        key: candidate(1, false).info.key,
+        fence: 1,
+    };
+    record.assignments[0].former_owners.push(former);
+    let mut driver = Driver::new("gw-0", 1);
+    driver.feed(OwnershipEvent::CandidatesUpdated(candidates(&[])));
+    driver.feed(OwnershipEvent::StoreUpdated(restored_view(Some(record))));
+    driver.run(Duration::from_secs(30));
+    assert!(driver.grants.iter().any(|grant| grant.range.first == 0));
+    assert!(driver.grants.iter().all(|grant| grant.fence >= 1 << 32));
+}
