Tell the ownership cores of a new era in any case

A listing of a new era without a change that concerns them would have left the cores in the former era until the next change; found by reading.

--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -178,7 +178,8 @@
         if listing.as_of.era < self.as_of.era {
             return MirrorEffect::default();
         }
-        if listing.as_of.era > self.as_of.era {
+        let new_era = listing.as_of.era > self.as_of.era;
+        if new_era {
             self.begin_era(now, listing.as_of.era);
         }
         let is_older = |item: &&store::StoredItem| {
@@ -192,7 +193,10 @@
             as_of: listing.as_of.revision,
             era: listing.as_of.era,
         });
-        let mut effect = MirrorEffect::default();
+        let mut effect = MirrorEffect {
+            view: new_era,
+            ownership: new_era,
+        };
         let listed: std::collections::HashSet<&str> =
             listing.items.iter().map(|item| item.key.as_str()).collect();
         // What the listing lacks was deleted, unless it is newer than the listing.
