Let the successor of a waiting leader wait too

Found by reading: a leader that waits for lost grants to expire writes a record of the present era, so that its successor would have granted at once, perhaps to upstreams from which a lost leader had moved ranges. The record now says that moves may be lacking until the first write after the wait.

--- a/src/ownership/core/election.rs
+++ b/src/ownership/core/election.rs
@@ -39,6 +39,7 @@
                 write_id,
                 leader: self.me.clone(),
                 era: self.view.as_of.era,
+                lacks_moves: false,
                 resigned: true,
                 predecessors: Vec::new(),
                 grant_ttl_ms: self.grant_ttl.as_millis() as u64,
@@ -57,6 +58,7 @@
         record.write_id = write_id;
         record.leader = self.me.clone();
         record.era = self.view.as_of.era;
+        record.lacks_moves = self.may_lack_moves();
         record.resigned = false;
         raise_fences(&mut record);
         actions.push(interface::OwnershipAction::Commit(Box::new(
@@ -194,6 +196,10 @@
             predecessors: names.collect(),
             hold_ms: hold_until.saturating_sub(now).as_millis() as u64,
         });
+        if hold_until > now {
+            // The next write tells that the wait is over.
+            self.dirty_since = Some(now);
+        }
         self.state = leadership::LeadershipState::Leading(Box::new(leadership::LeaderTerm {
             lease,
             position: store::StorePosition { era, revision },
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -125,6 +125,7 @@
             write_id,
             leader: self.me.clone(),
             era: self.view.as_of.era,
+            lacks_moves: false,
             resigned: resigns && all_delivered,
             predecessors: self.predecessor_instances(),
             grant_ttl_ms: self.grant_ttl_for(assignments.len()).as_millis() as u64,
--- a/src/ownership/core/reclaim.rs
+++ b/src/ownership/core/reclaim.rs
@@ -34,7 +34,7 @@
     pub(super) fn may_lack_moves(&self) -> bool {
         let era = self.view.as_of.era;
         match &self.view.record {
-            Some((record, _)) => record.era != 0 && record.era < era,
+            Some((record, _)) => record.lacks_moves || (record.era != 0 && record.era < era),
             None => era > 1 && (!self.settings.first_start || self.first_era < era),
         }
     }
@@ -117,6 +117,7 @@
             write_id: self.next_write_id(),
             leader: self.me.clone(),
             era: self.view.as_of.era,
+            lacks_moves: false,
             resigned: false,
             predecessors: self.predecessor_instances(),
             grant_ttl_ms: self.grant_ttl.as_millis() as u64,
--- a/src/ownership/record.rs
+++ b/src/ownership/record.rs
@@ -62,6 +62,8 @@
     pub leader: InstanceInfo,
     /// Era of the store in which the record was written; 0 if that is not known.
     pub era: store::Era,
+    /// Whether the store may have lost moves before this record, and nothing was granted since.
+    pub lacks_moves: bool,
     /// Whether that instance has stopped and none of its grants can arrive any more.
     pub resigned: bool,
     /// Earlier leaders that may still renew grants.
@@ -177,6 +179,8 @@
     predecessors: Vec<WireInstance>,
     #[prost(uint64, tag = "9")]
     era: u64,
+    #[prost(bool, tag = "10")]
+    lacks_moves: bool,
 }
 
 impl From<&InstanceInfo> for WireInstance {
@@ -233,6 +237,7 @@
             leader: Some(WireInstance::from(&record.leader)),
             predecessors: record.predecessors.iter().map(WireInstance::from).collect(),
             era: record.era,
+            lacks_moves: record.lacks_moves,
             resigned: record.resigned,
             grant_ttl_ms: record.grant_ttl_ms,
             next_fence: record.next_fence,
@@ -301,6 +306,7 @@
             leader: leader.try_into()?,
             predecessors: predecessors.collect::<Result<_, _>>()?,
             era: wire.era,
+            lacks_moves: wire.lacks_moves,
             resigned: wire.resigned,
             grant_ttl_ms: wire.grant_ttl_ms,
             next_fence: wire.next_fence,
@@ -327,6 +333,7 @@
             write_id: self.write_id,
             leader: self.leader.clone(),
             era: self.era,
+            lacks_moves: self.lacks_moves,
             resigned: self.resigned,
             predecessors: self.predecessors.clone(),
             grant_ttl_ms: self.grant_ttl_ms,
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -62,6 +62,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 7000)),
         },
         era: 0,
+        lacks_moves: random.bool(),
         resigned: random.bool(),
         predecessors: Vec::new(),
         grant_ttl_ms: 3000,
--- a/tests/ownership_core.rs
+++ b/tests/ownership_core.rs
@@ -351,6 +351,7 @@
         write_id: 1,
         leader: instance("gw-1", 1),
         era: 1,
+        lacks_moves: false,
         resigned,
         predecessors: Vec::new(),
         grant_ttl_ms: 3000,
@@ -807,3 +808,25 @@
     assert!(driver.grants.iter().any(|grant| grant.range.first == 0));
     assert!(driver.grants.iter().all(|grant| grant.fence >= 1 << 32));
 }
+
+/// The leader that waited for lost grants to expire may itself be replaced meanwhile.
+#[test]
+fn the_successor_of_a_waiting_leader_waits_too() {
+    let mut waiting = Driver::new("gw-1", 1);
+    waiting.feed(OwnershipEvent::CandidatesUpdated(candidates(&[])));
+    let view = restored_view(Some(record_of_other_leader(true)));
+    waiting.feed(OwnershipEvent::StoreUpdated(view));
+    waiting.run(leadership::INCUMBENT_GRACE + Duration::from_secs(1));
+    assert!(waiting.core.is_leading() && waiting.grants.is_empty());
+    let mut driver = Driver::new("gw-0", 1);
+    let view = restored_view(Some(waiting.last_record().clone()));
+    driver.feed(OwnershipEvent::CandidatesUpdated(candidates(&[])));
+    driver.feed(OwnershipEvent::StoreUpdated(view));
+    driver.run(leadership::AUTHORITY_TTL);
+    assert!(driver.core.is_leading());
+    assert!(driver.grants.is_empty());
+    driver.run(Duration::from_secs(10));
+    assert!(!driver.grants.is_empty());
+    let record = driver.last_record();
+    assert!(!record.lacks_moves, "the next leader need not wait");
+}
