Divide the burst of retries anew as instances come and go

An instance that started with 9 assumed kept a ninth of the burst among 82; callers saw nothing, upstreams could get more retries than the platform allows. Every change of the number of live instances now sets the share; a smaller one at once, a greater one fills up with requests. the_burst_of_retries_shrinks_as_instances_join failed before (30 allowed instead of 10).

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -17,7 +17,7 @@
     tokens: AtomicI64,
     /// Tokens that one request deposits.
     tokens_per_request: i64,
-    max_tokens: i64,
+    max_tokens: AtomicI64,
 }
 
 impl Default for RetryBudget {
@@ -33,13 +33,24 @@
         RetryBudget {
             tokens: AtomicI64::new(max_tokens),
             tokens_per_request: (ratio * RETRY_COST as f64) as i64,
-            max_tokens,
+            max_tokens: AtomicI64::new(max_tokens),
+        }
+    }
+
+    /// Sets the retries at once, as this instance's share of them changes.
+    ///
+    /// A smaller share takes effect at once; a greater one fills up with requests.
+    pub fn set_burst(&self, burst: f64) {
+        let max_tokens = (burst * RETRY_COST as f64) as i64;
+        if self.max_tokens.swap(max_tokens, Ordering::Relaxed) > max_tokens {
+            self.tokens.fetch_min(max_tokens, Ordering::Relaxed);
         }
     }
 
     /// Deposits the tokens of one request; retries of it deposit none.
     pub fn deposit(&self) {
-        let add = |tokens: i64| Some((tokens + self.tokens_per_request).min(self.max_tokens));
+        let max_tokens = self.max_tokens.load(Ordering::Relaxed);
+        let add = |tokens: i64| Some((tokens + self.tokens_per_request).min(max_tokens));
         let _ = self
             .tokens
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -125,6 +125,13 @@
 
     /// Replaces the view and wakes whoever waits for a change of it.
     pub fn publish(&self, view: view::GatewayView) {
+        if view.instances != self.view.load().instances {
+            let burst = self.retry_burst(view.instances);
+            let retry_budgets = self.retry_budgets.lock().expect("no panic while locked");
+            for budget in retry_budgets.values() {
+                budget.set_burst(burst);
+            }
+        }
         self.view.store(Arc::new(view));
         self.view_changed.notify(usize::MAX);
     }
@@ -155,12 +162,11 @@
 
     /// Returns this instance's retry budget of a service.
     ///
-    /// The burst is divided among the instances known when the budget is created.
+    /// The burst is divided among the live instances.
     pub fn retry_budget(&self, service: &Arc<str>) -> Arc<budget::RetryBudget> {
         let mut retry_budgets = self.retry_budgets.lock().expect("no panic while locked");
-        let instances = self.view.load().instances.max(1) as f64;
         let new = || {
-            let burst = self.settings.retry_burst / instances;
+            let burst = self.retry_burst(self.view.load().instances);
             Arc::new(budget::RetryBudget::new(self.settings.retry_ratio, burst))
         };
         retry_budgets
@@ -169,6 +175,11 @@
             .clone()
     }
 
+    /// Returns the share of one of `instances` in the burst of retries.
+    fn retry_burst(&self, instances: usize) -> f64 {
+        self.settings.retry_burst / instances.max(1) as f64
+    }
+
     /// Counts a request for a key in the service's tally.
     pub fn count_request(&self, service: &routing::ServiceSpec, key: u64) {
         let Some(space) = service.key_space else {
