Allocate no limits before the list of instances is known

Found in a second reading: an instance that had just started knew no list of instances yet and gave itself a share of each limit, two requests at once for each upstream, beside the limit's allocator. With many restarts at a time that adds up at an upstream in need. Now its requests to limited upstreams are refused until the list arrives, usually with its first report; after 10 s, and without any keyed service, it falls back to the equal share as before.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -98,6 +98,8 @@
     /// Whether all items of the store have been read.
     listed: Cell<bool>,
     store_contact: RefCell<relay::StoreContact>,
+    /// When the control thread was created.
+    started: Duration,
     /// Limits that this instance allocates.
     allocator: RefCell<allocator::LimitAllocator>,
 }
@@ -128,6 +130,7 @@
             relay: RefCell::default(),
             listed: Cell::new(false),
             store_contact: RefCell::new(relay::StoreContact::new(now)),
+            started: now,
             allocator: RefCell::default(),
         })
     }
--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -14,6 +14,10 @@
 /// Time after which a new leader knows all live instances by their reports.
 const MEMBERS_SETTLE_TIME: Duration = Duration::from_millis(1000);
 
+/// Time after the start within which a leader sends the list; a claim, the time until
+/// it knows all instances, and the replacement of a lost leader before.
+const MEMBERS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time after which the list is sent again to a follower that reports an older one.
 const MEMBERS_RESEND_DELAY: Duration = Duration::from_millis(600);
 
@@ -35,7 +39,11 @@
                 }
                 _ => self.answer_ask(service, ask, None),
             },
-            // Without a list every instance allocates an equal share.
+            None if self.awaits_members() => self.apply_answer(
+                service,
+                &allocator::PermitAnswer::refusal(ask, MEMBERS_RESEND_DELAY),
+            ),
+            // Without a leader there is no list: every instance allocates an equal share.
             None => {
                 let rate = ask.statement.rate();
                 let share = rate.map(|rate| rate.share(self.instances.get()));
@@ -48,6 +56,14 @@
         }
     }
 
+    /// Returns whether a leader will soon send the list of instances.
+    ///
+    /// An instance that has just started must not allocate beside the others.
+    fn awaits_members(&self) -> bool {
+        let has_leaders = !self.services.borrow().is_empty();
+        has_leaders && self.now() < self.started + MEMBERS_TIMEOUT
+    }
+
     /// Returns the instances among which a service's limits are divided.
     ///
     /// A service without keys has no leader; the first list known serves for it.
--- a/src/limits/allocator.rs
+++ b/src/limits/allocator.rs
@@ -54,6 +54,20 @@
     pub retry_after: Duration,
 }
 
+impl PermitAnswer {
+    /// Creates an answer without permits, for at least `wait`.
+    pub fn refusal(ask: &PermitAsk, wait: Duration) -> PermitAnswer {
+        PermitAnswer {
+            upstream: ask.upstream,
+            statement: ask.statement,
+            age: ask.age,
+            delays: PermitDelays::new(),
+            next_due: wait,
+            retry_after: wait,
+        }
+    }
+}
+
 /// A limit that begins or ends, for all instances.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LimitNotice {
