Keep one type and one function of what the change wrote twice

A second reading found: the version of a list of instances beside the same type for records, with the same conversions; a rendezvous weight beside the one of the placement of renewers; and the check whether an upstream is still registered, once for connections and once for limits. Each is one now. Behaviour is the same; the tests of announcements, limits, routing and the ownership core pass.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -57,9 +57,9 @@
     address: SocketAddr,
     last_report: Duration,
     /// Version of the record that was sent to it last.
-    sent_version: record::RecordVersion,
+    sent_version: store::AnnouncedVersion,
     /// Version that it reported last while it was behind.
-    known_version: record::RecordVersion,
+    known_version: store::AnnouncedVersion,
     /// Since when it has been behind at that version.
     behind_since: Option<Duration>,
     /// Whether it asked not to allocate limits, since it stops or does not know how.
--- a/src/fleet/control/announcements.rs
+++ b/src/fleet/control/announcements.rs
@@ -18,7 +18,7 @@
 /// Last announcement of a service's record.
 #[derive(Clone, Debug)]
 pub(super) struct AnnouncedRecord {
-    version: record::RecordVersion,
+    version: store::AnnouncedVersion,
     record: Arc<record::OwnershipRecord>,
 }
 
@@ -27,8 +27,8 @@
     fn needs_record(
         &mut self,
         now: Duration,
-        known: record::RecordVersion,
-        newest: record::RecordVersion,
+        known: store::AnnouncedVersion,
+        newest: store::AnnouncedVersion,
     ) -> bool {
         if known >= newest {
             self.behind_since = None;
@@ -38,7 +38,7 @@
             self.behind_since = None;
         }
         let since = *self.behind_since.get_or_insert(now);
-        let never_sent = self.sent_version == record::RecordVersion::default();
+        let never_sent = self.sent_version == store::AnnouncedVersion::default();
         never_sent || now >= since + RESEND_DELAY
     }
 }
@@ -70,7 +70,7 @@
         &self,
         service: &str,
         previous: &AnnouncedRecord,
-        version: record::RecordVersion,
+        version: store::AnnouncedVersion,
         record: &record::OwnershipRecord,
     ) {
         let content = peer::MessageContent::Patch {
@@ -91,7 +91,7 @@
     }
 
     /// Sends the whole record to a follower that missed a change.
-    pub(super) fn resend_record(&self, service: &str, name: &str, known: record::RecordVersion) {
+    pub(super) fn resend_record(&self, service: &str, name: &str, known: store::AnnouncedVersion) {
         let now = self.now();
         let (address, announced) = {
             let mut services = self.services.borrow_mut();
@@ -122,7 +122,7 @@
     pub(super) fn apply_record(
         self: &Rc<Self>,
         service: &str,
-        version: record::RecordVersion,
+        version: store::AnnouncedVersion,
         record: Arc<record::OwnershipRecord>,
     ) {
         let effect = self
@@ -135,8 +135,8 @@
     pub(super) fn apply_patch(
         self: &Rc<Self>,
         service: &str,
-        base: record::RecordVersion,
-        version: record::RecordVersion,
+        base: store::AnnouncedVersion,
+        version: store::AnnouncedVersion,
         patch: &patch::RecordPatch,
     ) {
         let mut mirror = self.mirror.borrow_mut();
--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{events, peer};
 use crate::ids;
 use crate::limits::{self, allocator, members, table};
+use crate::store;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -138,7 +139,7 @@
         known.map_or_else(|| key.to_string(), |known| known.entry.id.to_string())
     }
 
-    pub(super) fn members_version(&self, service: &str) -> members::ListVersion {
+    pub(super) fn members_version(&self, service: &str) -> store::AnnouncedVersion {
         let services = self.services.borrow();
         let members = services
             .get(service)
@@ -170,7 +171,7 @@
         &self,
         service: &str,
         name: &str,
-        known: Option<members::ListVersion>,
+        known: Option<store::AnnouncedVersion>,
         stopping: bool,
     ) {
         let now = self.now();
@@ -229,7 +230,7 @@
             }
             let sequence = known.map_or(0, |known| known.version.sequence);
             let list = Arc::new(members::MemberList {
-                version: members::ListVersion {
+                version: store::AnnouncedVersion {
                     position,
                     sequence: sequence + 1,
                 },
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -2,7 +2,7 @@
 
 use super::ControlThread;
 use crate::fleet::peer;
-use crate::ownership::{interface, load, record};
+use crate::ownership::{interface, load};
 use crate::peer_connections;
 use crate::store;
 use async_io::{Async, Timer};
@@ -245,8 +245,8 @@
     }
 
     /// Returns a version that a message states, with the present era if it states none.
-    fn resolve_version(&self, version: record::RecordVersion) -> record::RecordVersion {
-        record::RecordVersion {
+    fn resolve_version(&self, version: store::AnnouncedVersion) -> store::AnnouncedVersion {
+        store::AnnouncedVersion {
             position: self.mirror.borrow().resolve(version.position),
             ..version
         }
@@ -280,8 +280,8 @@
             let new = || super::Follower {
                 address: sender,
                 last_report: now,
-                sent_version: record::RecordVersion::default(),
-                known_version: record::RecordVersion::default(),
+                sent_version: store::AnnouncedVersion::default(),
+                known_version: store::AnnouncedVersion::default(),
                 behind_since: None,
                 no_allocator: false,
                 members_sent: None,
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -87,7 +87,7 @@
 
 /// Newest ownership record of a service, stored or announced.
 struct KnownRecord {
-    version: record::RecordVersion,
+    version: store::AnnouncedVersion,
     record: Arc<record::OwnershipRecord>,
 }
 
@@ -129,7 +129,7 @@
     }
 
     /// Returns the known version of a service's ownership record, or the least one.
-    pub fn record_version(&self, service: &str) -> record::RecordVersion {
+    pub fn record_version(&self, service: &str) -> store::AnnouncedVersion {
         let known = self.records.get(&record_key(service));
         known.map(|known| known.version).unwrap_or_default()
     }
@@ -235,7 +235,7 @@
     pub fn put_record(
         &mut self,
         service: &str,
-        version: record::RecordVersion,
+        version: store::AnnouncedVersion,
         record: Arc<record::OwnershipRecord>,
     ) -> MirrorEffect {
         let key = record_key(service);
@@ -261,8 +261,8 @@
     pub fn patch_record(
         &mut self,
         service: &str,
-        base: record::RecordVersion,
-        version: record::RecordVersion,
+        base: store::AnnouncedVersion,
+        version: store::AnnouncedVersion,
         patch: &patch::RecordPatch,
     ) -> MirrorEffect {
         let Some(record) = self.record(service) else {
@@ -361,7 +361,7 @@
                 });
                 let known = self.records.get(&item.key);
                 if known.is_none_or(|known| known.version.position < position) {
-                    let version = record::RecordVersion {
+                    let version = store::AnnouncedVersion {
                         position,
                         sequence: 0,
                     };
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -40,10 +40,10 @@
         /// Whether the sender leads the service.
         leading: bool,
         /// Version of the service's record that the sender knows.
-        known: record::RecordVersion,
+        known: store::AnnouncedVersion,
         /// Version of the list of instances that the sender knows; absent from builds
         /// that know no such list.
-        members: Option<members::ListVersion>,
+        members: Option<store::AnnouncedVersion>,
         /// Whether the sender stops and should allocate no limits any more.
         stopping: bool,
         load: load::LoadReport,
@@ -61,14 +61,14 @@
     },
     /// Whole ownership record, as announced by its leader.
     Record {
-        version: record::RecordVersion,
+        version: store::AnnouncedVersion,
         record: Arc<record::OwnershipRecord>,
     },
     /// What changed in an ownership record since an earlier announcement.
     Patch {
         /// Version that the patch applies to.
-        base: record::RecordVersion,
-        version: record::RecordVersion,
+        base: store::AnnouncedVersion,
+        version: store::AnnouncedVersion,
         patch: Box<patch::RecordPatch>,
     },
     /// Changes of the store, passed on by a relay.
--- a/src/fleet/peer/wire.rs
+++ b/src/fleet/peer/wire.rs
@@ -3,7 +3,6 @@
 mod limits;
 
 use crate::ids;
-use crate::limits::members;
 use crate::ownership::{load, patch, record};
 use crate::store;
 use std::sync::Arc;
@@ -131,8 +130,8 @@
     era: u64,
 }
 
-impl From<record::RecordVersion> for WireVersion {
-    fn from(version: record::RecordVersion) -> WireVersion {
+impl From<store::AnnouncedVersion> for WireVersion {
+    fn from(version: store::AnnouncedVersion) -> WireVersion {
         WireVersion {
             revision: version.position.revision,
             sequence: version.sequence,
@@ -141,31 +140,9 @@
     }
 }
 
-impl From<members::ListVersion> for WireVersion {
-    fn from(version: members::ListVersion) -> WireVersion {
-        WireVersion {
-            revision: version.position.revision,
-            sequence: version.sequence,
-            era: version.position.era,
-        }
-    }
-}
-
-impl From<WireVersion> for members::ListVersion {
-    fn from(wire: WireVersion) -> members::ListVersion {
-        members::ListVersion {
-            position: store::StorePosition {
-                era: wire.era,
-                revision: wire.revision,
-            },
-            sequence: wire.sequence,
-        }
-    }
-}
-
-impl From<WireVersion> for record::RecordVersion {
-    fn from(wire: WireVersion) -> record::RecordVersion {
-        record::RecordVersion {
+impl From<WireVersion> for store::AnnouncedVersion {
+    fn from(wire: WireVersion) -> store::AnnouncedVersion {
+        store::AnnouncedVersion {
             position: store::StorePosition {
                 era: wire.era,
                 revision: wire.revision,
@@ -333,7 +310,7 @@
             WireContent::Report(report) => super::MessageContent::Report {
                 leading: report.leading,
                 known: report.known.unwrap_or_default().into(),
-                members: report.members.map(members::ListVersion::from),
+                members: report.members.map(store::AnnouncedVersion::from),
                 stopping: report.stopping,
                 load: report.into(),
             },
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -250,12 +250,8 @@
 
     /// Drops unused pools of removed upstreams, and closes expired connections of the others.
     pub fn trim(&self, current: &view::GatewayView) {
-        let known = |key: &ids::UpstreamKey| {
-            let mut services = current.services.values();
-            services.any(|service| service.upstream(*key).is_some())
-        };
         let mut pools = self.pools.borrow_mut();
-        pools.retain(|key, pool| pool.in_flight() > 0 || known(key));
+        pools.retain(|key, pool| pool.in_flight() > 0 || current.has_upstream(*key));
         for pool in pools.values() {
             pool.trim();
         }
--- a/src/gateway/thread.rs
+++ b/src/gateway/thread.rs
@@ -5,7 +5,6 @@
 
 use crate::gateway::{attempts, caller, context, pools};
 use crate::h1::socket;
-use crate::ids;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use std::io;
@@ -85,10 +84,6 @@
         Timer::after(TRIM_INTERVAL).await;
         let view = context.view.load();
         pools.trim(&view);
-        let known = |key: &ids::UpstreamKey| {
-            let mut services = view.services.values();
-            services.any(|service| service.upstream(*key).is_some())
-        };
-        context.limits.retain(known);
+        context.limits.retain(|key| view.has_upstream(*key));
     }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -75,6 +75,14 @@
     }
 }
 
+impl GatewayView {
+    /// Returns whether an upstream is registered, of any service.
+    pub fn has_upstream(&self, key: ids::UpstreamKey) -> bool {
+        let mut services = self.services.values();
+        services.any(|service| service.upstream(key).is_some())
+    }
+}
+
 /// State on which the handling of a request depends.
 #[derive(Clone, Debug, Default)]
 pub struct GatewayView {
--- a/src/limits/members.rs
+++ b/src/limits/members.rs
@@ -5,23 +5,15 @@
 //! and a change of the list moves the upstreams of the changed instances only.
 
 use crate::ids;
+use crate::placement;
 use crate::store;
-use std::net::SocketAddr;
-use xxhash_rust::xxh3;
-
-/// Version of a list; later versions compare greater.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct ListVersion {
-    /// Position at which the list's author became the leader.
-    pub position: store::StorePosition,
-    /// Number of the author's list.
-    pub sequence: u64,
-}
+use smallvec::SmallVec;
+use std::net::{IpAddr, SocketAddr};
 
 /// Addresses of the live instances, without those that stop.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberList {
-    pub version: ListVersion,
+    pub version: store::AnnouncedVersion,
     /// Addresses for messages between instances, sorted.
     pub addresses: Vec<SocketAddr>,
 }
@@ -31,25 +23,18 @@
     pub fn allocator(&self, upstream: ids::UpstreamKey) -> Option<SocketAddr> {
         let addresses = self.addresses.iter();
         addresses
-            .max_by_key(|address| rendezvous_weight(upstream, address))
+            .max_by_key(|address| placement::rendezvous_weight(upstream.0, &address_bytes(address)))
             .copied()
     }
 }
 
-fn rendezvous_weight(upstream: ids::UpstreamKey, address: &SocketAddr) -> u64 {
-    let port = address.port().to_le_bytes();
+/// Encodes an address for the hash.
+fn address_bytes(address: &SocketAddr) -> SmallVec<[u8; 18]> {
+    let mut bytes = SmallVec::new();
     match address.ip() {
-        std::net::IpAddr::V4(ip) => {
-            let mut bytes = [0; 6];
-            bytes[..4].copy_from_slice(&ip.octets());
-            bytes[4..].copy_from_slice(&port);
-            xxh3::xxh3_64_with_seed(&bytes, upstream.0)
-        }
-        std::net::IpAddr::V6(ip) => {
-            let mut bytes = [0; 18];
-            bytes[..16].copy_from_slice(&ip.octets());
-            bytes[16..].copy_from_slice(&port);
-            xxh3::xxh3_64_with_seed(&bytes, upstream.0)
-        }
+        IpAddr::V4(ip) => bytes.extend_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes.extend_from_slice(&ip.octets()),
     }
+    bytes.extend_from_slice(&address.port().to_le_bytes());
+    bytes
 }
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -267,7 +267,7 @@
                 .collect(),
             ..record.clone()
         };
-        let version = record::RecordVersion {
+        let version = store::AnnouncedVersion {
             position: store::StorePosition {
                 era: self.view.as_of.era,
                 revision: *revision,
--- a/src/ownership/interface.rs
+++ b/src/ownership/interface.rs
@@ -199,7 +199,7 @@
 pub struct Announcement {
     /// The stored record, updated with grants acknowledged since.
     pub record: record::OwnershipRecord,
-    pub version: record::RecordVersion,
+    pub version: store::AnnouncedVersion,
 }
 
 /// Output of the ownership core.
--- a/src/ownership/record.rs
+++ b/src/ownership/record.rs
@@ -77,17 +77,6 @@
     pub assignments: Vec<RangeAssignment>,
 }
 
-/// Version of a service's record; later versions compare greater.
-///
-/// A leader announces changes of the record before it stores them.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct RecordVersion {
-    /// Position at which the record was stored.
-    pub position: store::StorePosition,
-    /// Number of the leader's announcement; 0 for the stored record itself.
-    pub sequence: u64,
-}
-
 /// Why a stored value is not a valid ownership record.
 #[derive(Debug, Error)]
 pub enum RecordError {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -18,8 +18,12 @@
 pub const SUCCESSORS_PER_RANGE: usize = 2;
 
 /// Returns the rendezvous weight of `candidate` for `subject`.
+pub fn rendezvous_weight(subject: u64, candidate: &[u8]) -> u64 {
+    xxh3::xxh3_64_with_seed(candidate, subject)
+}
+
 fn weight(subject: u64, candidate: u64) -> u64 {
-    xxh3::xxh3_64_with_seed(&candidate.to_le_bytes(), subject)
+    rendezvous_weight(subject, &candidate.to_le_bytes())
 }
 
 /// Chooses the renewers of an upstream from the live instances `peers`.
--- a/src/store.rs
+++ b/src/store.rs
@@ -32,6 +32,17 @@
     pub revision: u64,
 }
 
+/// Version of what a leader announces to other instances; later versions compare greater.
+///
+/// A leader announces changes of an ownership record before it stores them.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct AnnouncedVersion {
+    /// Position of the stored record, or of the leader's claim for what is not stored.
+    pub position: StorePosition,
+    /// Number of the leader's announcement; 0 for a stored record itself.
+    pub sequence: u64,
+}
+
 /// One key with its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredItem {
--- a/standins/src/ownership/record_view.rs
+++ b/standins/src/ownership/record_view.rs
@@ -17,7 +17,7 @@
 /// Newest ownership record that one instance knows.
 #[derive(Debug, Default)]
 pub struct RecordView {
-    version: record::RecordVersion,
+    version: store::AnnouncedVersion,
     record: Option<record::OwnershipRecord>,
     /// Position of the store's record, as it was polled last.
     stored: store::StorePosition,
@@ -46,7 +46,7 @@
             revision,
         };
         if position > self.version.position {
-            self.version = record::RecordVersion {
+            self.version = store::AnnouncedVersion {
                 position,
                 sequence: 0,
             };
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -7,10 +7,11 @@
 use godwitloom::ownership::patch::RecordPatch;
 use godwitloom::ownership::record::{
     FormerOwner, FormerOwners, InstanceInfo, OwnerInfo, OwnershipRecord, RangeAssignment,
-    RecordVersion,
 };
 use godwitloom::range::KeyRange;
-use godwitloom::store::{ChangeBatch, StoreChange, StoreListing, StorePosition, StoredItem};
+use godwitloom::store::{
+    AnnouncedVersion, ChangeBatch, StoreChange, StoreListing, StorePosition, StoredItem,
+};
 use godwitloom::{event_log, ids};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -77,8 +78,8 @@
     StorePosition { era: 0, revision }
 }
 
-fn version(revision: u64, sequence: u64) -> RecordVersion {
-    RecordVersion {
+fn version(revision: u64, sequence: u64) -> AnnouncedVersion {
+    AnnouncedVersion {
         position: at(revision),
         sequence,
     }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -4,10 +4,10 @@
 use godwitloom::fleet::peer::{MessageContent, PeerMessage};
 use godwitloom::ids;
 use godwitloom::limits::allocator::{LimitAllocator, LimitNotice, PermitAnswer, PermitAsk};
-use godwitloom::limits::members::{ListVersion, MemberList};
+use godwitloom::limits::members::MemberList;
 use godwitloom::limits::table::{Admission, LimitTable, OutgoingAsk};
 use godwitloom::limits::{LimitStatement, RequestRate};
-use godwitloom::store::StorePosition;
+use godwitloom::store::{AnnouncedVersion, StorePosition};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -32,7 +32,7 @@
 fn member_list(count: u8) -> MemberList {
     let address = |index| SocketAddr::from(([10, 0, 0, index], 7620));
     MemberList {
-        version: ListVersion {
+        version: AnnouncedVersion {
             position: StorePosition {
                 era: 1,
                 revision: 9,
