--- /dev/null
+++ b/tests/ownership_core/leadership.rs
@@ -0,0 +1,233 @@
+//! Claims, authority, predecessors and resignation.
+
+use super::driver::{Driver, TICK, at, candidate, candidates, instance, record_of_other_leader};
+use godwitloom::ownership::interface::{
+    CommitResult, LeaderView, OwnershipAction, OwnershipEvent, StoreView,
+};
+use godwitloom::ownership::{candidates, leadership};
+use std::time::Duration;
+
+#[test]
+fn authority_expires_during_a_store_outage() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_responds = false;
+    driver.run(leadership::AUTHORITY_TTL - Duration::from_secs(1));
+    assert!(
+        driver.core.is_leading(),
+        "a leader acts through a store outage until its authority expires"
+    );
+    driver.run(Duration::from_secs(2));
+    assert!(!driver.core.is_leading());
+    driver.grants.clear();
+    driver.run(Duration::from_secs(5));
+    assert!(driver.grants.is_empty());
+}
+
+/// While the process was suspended, another instance may have become the leader and
+/// upstreams may have restarted.
+#[test]
+fn a_resumed_leader_grants_nothing_before_a_response_of_the_store() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_responds = false;
+    driver.run(Duration::from_millis(500));
+    driver.now += Duration::from_secs(3);
+    driver.grants.clear();
+    driver.run(Duration::from_secs(1));
+    assert!(driver.grants.is_empty(), "{:?}", driver.grants);
+}
+
+#[test]
+fn a_leader_that_is_not_suspended_grants_during_a_store_outage() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_responds = false;
+    driver.run(Duration::from_millis(4000));
+    driver.grants.clear();
+    driver.run(Duration::from_secs(2));
+    assert!(!driver.grants.is_empty());
+}
+
+#[test]
+fn a_new_leader_renews_at_once_and_fences_off_its_predecessor() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record_of_other_leader(false)));
+    let owners: Vec<_> = driver.grants.iter().map(|grant| grant.owner.key).collect();
+    assert!(owners.contains(&candidate(0, false).info.key));
+    assert!(
+        driver.grants.iter().all(|grant| grant.fence >= 3),
+        "upstreams must refuse the predecessor's lower fencing tokens"
+    );
+    let record = driver.last_record();
+    assert_eq!(
+        record.predecessors,
+        [instance("gw-1", 1)],
+        "a later leader must know of the predecessor too"
+    );
+    // The predecessor is not proven to have stopped, yet its fencing tokens are refused.
+    let drain_start = driver.now;
+    driver.feed(OwnershipEvent::CandidatesUpdated(candidates(&[0])));
+    driver.grants.clear();
+    driver.run(Duration::from_secs(1));
+    let moved = driver
+        .grants
+        .iter()
+        .any(|grant| grant.range.first < 32 && grant.owner.key == candidate(1, false).info.key);
+    assert!(moved, "no key moved within {:?}", driver.now - drain_start);
+}
+
+#[test]
+fn leaders_before_the_predecessor_stay_in_the_record() {
+    let mut record = record_of_other_leader(false);
+    record.predecessors = vec![instance("gw-2", 1)];
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record));
+    let expected = [instance("gw-2", 1), instance("gw-1", 1)];
+    assert_eq!(driver.last_record().predecessors, expected);
+}
+
+#[test]
+fn the_range_of_an_unresponsive_owner_moves_only_after_the_predecessor_stopped() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.grants_respond = false;
+    driver.lead(Some(record_of_other_leader(false)));
+    let only = candidates::CandidateTable::new(vec![candidate(1, false)]);
+    driver.feed(OwnershipEvent::CandidatesUpdated(only));
+    driver.run(Duration::from_secs(5));
+    let moved = |driver: &Driver| {
+        driver
+            .grants
+            .iter()
+            .any(|grant| grant.range.first < 32 && grant.owner.key == candidate(1, false).info.key)
+    };
+    assert!(
+        !moved(&driver),
+        "the predecessor may still renew the unresponsive owner's grant"
+    );
+    driver.grants_respond = true;
+    driver.releases_end = false;
+    driver.feed(OwnershipEvent::InstanceSeen {
+        name: "gw-1".to_owned(),
+        run: instance("gw-1", 2).run,
+        leading: false,
+    });
+    driver.run(Duration::from_secs(6));
+    assert!(moved(&driver), "a restarted predecessor renews nothing");
+}
+
+#[test]
+fn a_resigned_leader_is_not_a_predecessor() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record_of_other_leader(true)));
+    assert!(driver.last_record().predecessors.is_empty());
+}
+
+#[test]
+fn an_earlier_run_of_the_same_instance_is_replaced_at_once() {
+    let mut driver = Driver::new("gw-1", 2);
+    let view = StoreView {
+        leader: Some(LeaderView {
+            run: instance("gw-1", 1).run,
+            name: "gw-1".to_owned(),
+            era: 1,
+            revision: 4,
+        }),
+        record: Some((record_of_other_leader(false), 5)),
+        as_of: at(6),
+    };
+    driver.feed(OwnershipEvent::CandidatesUpdated(candidates(&[])));
+    driver.feed(OwnershipEvent::StoreUpdated(view));
+    driver.run(Duration::from_millis(300));
+    assert!(driver.core.is_leading());
+    assert_eq!(driver.commits[0].leader_revision, 4);
+    assert!(driver.commits[0].record.predecessors.is_empty());
+}
+
+/// Regression test: two instances claimed leadership within 50 ms, and the later one
+/// replaced the leader that it had seen in between.
+#[test]
+fn a_claim_is_given_up_once_another_leads() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.store_responds = false;
+    let view = StoreView {
+        leader: None,
+        record: None,
+        as_of: at(6),
+    };
+    driver.feed(OwnershipEvent::CandidatesUpdated(candidates(&[])));
+    driver.feed(OwnershipEvent::StoreUpdated(view));
+    let mut lease_requested = false;
+    for _ in 0..10 {
+        driver.now += TICK;
+        let actions = driver.core.step(driver.now, OwnershipEvent::Tick);
+        lease_requested |= actions
+            .iter()
+            .any(|action| matches!(action, OwnershipAction::OpenLease { .. }));
+    }
+    assert!(lease_requested);
+    driver.feed(OwnershipEvent::StoreUpdated(StoreView {
+        leader: Some(LeaderView {
+            run: instance("gw-1", 1).run,
+            name: "gw-1".to_owned(),
+            era: 1,
+            revision: 7,
+        }),
+        record: Some((record_of_other_leader(false), 7)),
+        as_of: at(7),
+    }));
+    driver.feed(OwnershipEvent::LeaseOpened {
+        sent: driver.now,
+        lease: Some(1),
+    });
+    assert!(driver.commits.is_empty(), "another instance leads");
+}
+
+#[test]
+fn a_stopping_leader_resigns_once_its_calls_have_ended() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.feed(OwnershipEvent::Stop);
+    driver.run(TICK * 3);
+    let last = driver.commits.last().expect("a record was written");
+    assert!(last.resign && last.record.resigned);
+    assert!(driver.core.is_following());
+    driver.grants.clear();
+    driver.run(Duration::from_secs(3));
+    assert!(driver.grants.is_empty());
+}
+
+/// Regression test: a leader that was stopped during a store outage renewed nothing,
+/// while no other instance could become the leader.
+#[test]
+fn a_stopping_leader_renews_until_its_resignation_is_committed() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_responds = false;
+    driver.run(Duration::from_secs(2));
+    driver.feed(OwnershipEvent::Stop);
+    driver.grants.clear();
+    driver.run(Duration::from_secs(3));
+    assert!(
+        driver.grants.len() >= 4,
+        "both ranges are renewed every second"
+    );
+    assert!(driver.commits.iter().all(|commit| !commit.resign));
+    driver.store_responds = true;
+    driver.run(Duration::from_secs(2));
+    assert!(driver.commits.last().is_some_and(|commit| commit.resign));
+    assert!(driver.core.is_following());
+}
+
+#[test]
+fn a_record_written_by_another_leader_ends_the_leadership() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.store_responds = false;
+    driver.feed(OwnershipEvent::CandidatesUpdated(candidates(&[0])));
+    driver.run(TICK);
+    let other = CommitResult::Conflict(Some((Box::new(record_of_other_leader(false)), 50)));
+    driver.feed(OwnershipEvent::CommitFinished(other));
+    driver.run(TICK);
+    assert!(!driver.core.is_leading());
+}
