Send on no request whose caller has already left

Cause: an instance that was held up reads a request and the close behind it one after the other, and polled the new request, which sends it on, before it read again. Now it reads first. Reading no longer waits for the reactor before it tries, so that the close is seen.

a_request_whose_caller_has_left_is_not_sent_on failed before (3 of 5 requests of callers that left while the process was suspended arrived), passes now.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -132,7 +132,8 @@
             let event = {
                 let read = next_read(&mut reading, next_request.is_some());
                 let response = next_response(&mut responses);
-                future::or(response, read).await
+                // Reading first shows whether the caller has left before its request is sent on.
+                future::or(read, response).await
             };
             match event {
                 ConnectionEvent::Responded(response, close_requested) => {
--- a/src/h1/reader.rs
+++ b/src/h1/reader.rs
@@ -83,11 +83,8 @@
 
     /// Waits for the first byte of the next message.
     pub async fn wait(&mut self) -> Result<(), h1::ReadError> {
-        if self.buffer.is_empty() {
-            self.socket.readable().await?;
-            if self.fill().await? == 0 {
-                return Err(h1::ReadError::Closed);
-            }
+        if self.buffer.is_empty() && self.fill().await? == 0 {
+            return Err(h1::ReadError::Closed);
         }
         Ok(())
     }
