--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -76,8 +76,7 @@
     ///
     /// It is 1 for an owner whose latency is unknown.
     pub fn slowness(&self, owner: ids::UpstreamKey) -> f32 {
-        let count = self.averages.len().max(1) as f32;
-        let overall_mean = self.averages.values().sum::<f32>() / count;
+        let overall_mean = self.mean_ms();
         let (least, most) = SLOWNESS_BOUNDS;
         match self.averages.get(&owner) {
             Some(average) if overall_mean > 0.0 => (average / overall_mean).clamp(least, most),
@@ -87,17 +86,19 @@
 
     /// Returns an owner's latency, or the mean of all owners if it is unknown.
     pub fn latency(&self, owner: ids::UpstreamKey) -> Duration {
-        let count = self.averages.len().max(1) as f32;
-        let overall_mean = self.averages.values().sum::<f32>() / count;
+        let overall_mean = self.mean_ms();
         let average = self.averages.get(&owner).copied().unwrap_or(overall_mean);
         Duration::from_secs_f32(average.max(0.0) / 1000.0)
     }
 
     /// Returns the mean latency of all owners; zero if none is known.
     pub fn mean(&self) -> Duration {
+        Duration::from_secs_f32(self.mean_ms().max(0.0) / 1000.0)
+    }
+
+    fn mean_ms(&self) -> f32 {
         let count = self.averages.len().max(1) as f32;
-        let mean = self.averages.values().sum::<f32>() / count;
-        Duration::from_secs_f32(mean.max(0.0) / 1000.0)
+        self.averages.values().sum::<f32>() / count
     }
 
     /// Removes all other owners than those to keep.
