--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -124,7 +124,10 @@
                     this.apply_items(batch.as_of.era, items);
                     Timer::after(WATCH_PAUSE).await;
                 }
-                Err(store::StoreError::Restored(era)) => this.note_era(era),
+                Err(store::StoreError::Restored(era)) => {
+                    this.note_era(era);
+                    Timer::after(WATCH_PAUSE).await;
+                }
                 Err(error) => {
                     log::debug!("configuration not watched: {error}; the watch is retried");
                     Timer::after(MAX_STORE_BACKOFF).await;
