Remove upstreams that leave right after a start at once

Found in the same reading: the first listing of a run began an era like a restoration and so the time in which upstreams may register again, so that one that left within 2.2 s of an instance's start stayed in use. an_upstream_that_leaves_right_after_a_start_is_removed_at_once failed before.

--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -164,13 +164,13 @@
                 era,
                 lost_as_of: self.as_of.revision,
             });
+            self.directory.note_store_regained(now);
         }
         self.as_of = store::StorePosition { era, revision: 0 };
         for revision in self.revisions.values_mut() {
             *revision = 0;
         }
         self.leaders.clear();
-        self.directory.note_store_regained(now);
     }
 
     /// Applies a complete listing, unless it is of an earlier era.
