Count the settle time of a leader from its present claim

The time now belongs to a claim. No test: which instance leads again cannot be forced from outside; the process tests of limits and the relay pass.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -75,8 +75,8 @@
     last_announced: Option<announcements::AnnouncedRecord>,
     /// Instances among which limits are divided, as the service's leader told.
     members: Option<Arc<members::MemberList>>,
-    /// Since when this instance has led the service.
-    leading_since: Option<Duration>,
+    /// Position of this instance's last claim, and when it was first seen to lead by it.
+    leading_since: Option<(store::StorePosition, Duration)>,
     /// Requests and latencies since the last report.
     tally: context::LoadTally,
 }
--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -209,10 +209,15 @@
                 return;
             };
             let Some(position) = control.core.leader_position() else {
-                control.leading_since = None;
                 return;
             };
-            let since = *control.leading_since.get_or_insert(now);
+            // An earlier leadership says nothing of which instances are alive now.
+            let leading_since = control
+                .leading_since
+                .filter(|(claim, _)| *claim == position);
+            let (_, since) = *control
+                .leading_since
+                .insert(leading_since.unwrap_or((position, now)));
             if now < since + MEMBERS_SETTLE_TIME {
                 return;
             }
