Keep the stated limit apart from an equal share of it

The share is an allocation now, and the statement stays. The new test holds the fallback to its share; it guards the path, which had none, and would have passed before.

--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -46,17 +46,29 @@
             ),
             // Without a leader there is no list: every instance allocates an equal share.
             None => {
-                let rate = ask.statement.rate();
-                let share = rate.map(|rate| rate.share(self.instances.get()));
-                let ask = allocator::PermitAsk {
-                    statement: share.into(),
-                    ..*ask
-                };
-                self.answer_ask(service, &ask, None);
+                let answer = self.allocate_share(ask);
+                self.apply_answer(service, &answer);
             }
         }
     }
 
+    /// Answers an own ask from an equal share of the limit.
+    fn allocate_share(&self, ask: &allocator::PermitAsk) -> allocator::PermitAnswer {
+        let rate = ask.statement.rate();
+        let share = rate.map(|rate| rate.share(self.instances.get()));
+        let shared = allocator::PermitAsk {
+            statement: share.into(),
+            ..*ask
+        };
+        let (answer, _) = self.allocator.borrow_mut().ask(self.now(), &shared);
+        // What the upstream states is still its whole limit.
+        allocator::PermitAnswer {
+            statement: ask.statement,
+            age: ask.age,
+            ..answer
+        }
+    }
+
     /// Returns whether a leader will soon send the list of instances.
     ///
     /// An instance that has just started must not allocate beside the others.
