Let the stand-in caller use no connection whose close was announced

Known red stopped_instance_fails_no_request: a stopping instance announces the close in each response and closes; the stand-in caller ignored the announcement and sent its next POST on the same connection 2 ms later, unless the close had already arrived. The fault is the stand-in's; what is sent behind an announced close is not read by anybody.

Ruled out: the end of the lame-duck period (139 ms after SIGTERM), a signal that interrupts the traffic thread, the detection of callers that leave.

Test: callers_use_no_connection_whose_close_was_announced, whose server closes 40 ms after its response; before: 10 of 10 requests failed and lay unread, after: 0.

--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -226,19 +226,26 @@
             message::write_request(&stream, request).await?;
             let mut response: Response = message::read_response(&stream, method, || {}).await?;
             let status = u16::from(response.status());
+            let closes = announces_close(&response);
             let body = response.body_string().await;
             let body = body.map_err(|e| message::MessageError::Malformed(e.to_string()))?;
-            Ok::<_, message::MessageError>((status, body))
+            Ok::<_, message::MessageError>((status, body, closes))
         };
         let result = timer::within(RESPONSE_TIMEOUT, exchange).await;
-        let response = result.ok_or(false)?.map_err(|_| idempotent)?;
-        if stream.is_reusable() {
+        let (status, body, closes) = result.ok_or(false)?.map_err(|_| idempotent)?;
+        if stream.is_reusable() && !closes {
             self.connection = Some(stream);
         }
-        Ok(response)
+        Ok((status, body))
     }
 }
 
+/// Returns whether the peer closes the connection after the response.
+fn announces_close(response: &Response) -> bool {
+    let connection = response.header("connection");
+    connection.is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"))
+}
+
 impl LoadRun {
     /// Returns the key of a caller's next request; `None` for an unkeyed load.
     ///
