Send nothing to upstreams that leave or pause, and believe no repeated refusal

Cause: nobody read Server-Leaving; an instance learned of a departure from the store only, so that a silent store, or an upstream that never writes 'draining', left it in use. Every response says it now, in a table that traffic threads and directory share; it ends with the run of the upstream. Reports tell the leader, whose keys then move without an entry in the store; so do responses to grants and releases.

Cause: nobody read Retry-After of a refusal. A pause binds the instance: requests without a key go elsewhere, those for keys are refused at once with a turn each, and the return begins with one request in flight.

Refusals sent once more. Cause: a response without a request ID was taken for that of the request in progress, and a request was sent again on the connection that had carried its refusal. A response without an ID now counts only as the first one on its connection, and no request comes twice to one connection.

Ruled out: heads cut at any byte (all end as 502 or 504 before and after); late responses with another ID (skipped before and after).

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -10,8 +10,9 @@
 //! that drains or has left does not count as ready again.
 
 use crate::ids;
+use crate::notices::departures;
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -109,6 +110,8 @@
     upstreams: BTreeMap<Arc<str>, KnownUpstream>,
     /// Sequence of the last entry of each run that left, and when it did.
     departed: BTreeMap<ids::UpstreamKey, (u64, Duration)>,
+    /// When runs said that they leave; they leave whatever their entries say.
+    leaving: BTreeMap<ids::UpstreamKey, Duration>,
     /// When the store last responded again after an outage.
     store_regained: Option<Duration>,
 }
@@ -127,7 +130,8 @@
     /// Adds or updates the upstream of an entry.
     pub fn put(&mut self, now: Duration, entry: UpstreamEntry) -> Vec<DirectoryChange> {
         let key = entry.key();
-        let draining = entry.state == UpstreamState::Draining;
+        let leaving = self.leaving.contains_key(&key);
+        let draining = leaving || entry.state == UpstreamState::Draining;
         let mut changes = Vec::new();
         let known = self.upstreams.get(&entry.id);
         let known = known.filter(|known| known.key == key).cloned();
@@ -184,6 +188,28 @@
         changes
     }
 
+    /// Notes that a run said that it leaves; returns the change if it is registered and
+    /// was not draining.
+    pub fn note_leaving(
+        &mut self,
+        now: Duration,
+        key: ids::UpstreamKey,
+    ) -> Option<DirectoryChange> {
+        self.leaving.entry(key).or_insert(now);
+        let mut upstreams = self.upstreams.values_mut();
+        let known = upstreams.find(|known| known.key == key)?;
+        if known.draining_since.is_some() {
+            return None;
+        }
+        known.draining_since = Some(now);
+        Some(DirectoryChange::new(&known.entry, ChangeKind::Draining))
+    }
+
+    /// Returns the upstream of a run, if it is registered.
+    pub fn get(&self, key: ids::UpstreamKey) -> Option<&KnownUpstream> {
+        self.iter().find(|known| known.key == key)
+    }
+
     /// Removes the upstream `id`, whose entry is gone, or marks it as missing.
     pub fn remove(&mut self, now: Duration, id: &str) -> Option<DirectoryChange> {
         let in_grace = self
@@ -213,10 +239,22 @@
             .collect()
     }
 
+    /// Forgets runs that are not registered and left long ago.
+    fn trim_leaving(&mut self, now: Duration) {
+        let is_recent = |since: &Duration| now < *since + departures::DEPARTURE_RETENTION;
+        if self.leaving.values().all(is_recent) {
+            return;
+        }
+        let registered: BTreeSet<_> = self.iter().map(|known| known.key).collect();
+        self.leaving
+            .retain(|key, since| registered.contains(key) || is_recent(since));
+    }
+
     /// Removes missing upstreams that did not register again in time.
     pub fn expire(&mut self, now: Duration) -> Vec<DirectoryChange> {
         self.departed
             .retain(|_, (_, left_at)| now < *left_at + DEPARTED_RETENTION);
+        self.trim_leaving(now);
         let Some(regained) = self.store_regained else {
             return Vec::new();
         };
--- a/src/fleet/adapters.rs
+++ b/src/fleet/adapters.rs
@@ -35,6 +35,14 @@
 /// Condition that is checked just before a call is sent.
 pub type CallGuard = Rc<dyn Fn() -> bool>;
 
+/// Result of a grant or release call, and what its response says of the upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallResult<T> {
+    pub result: T,
+    /// Whether the upstream leaves.
+    pub leaving: bool,
+}
+
 /// Calls by which an instance grants ranges to upstreams and asks former owners to
 /// release them.
 pub trait GrantClient {
@@ -43,11 +51,11 @@
         &'a self,
         command: &'a interface::GrantCommand,
         guard: CallGuard,
-    ) -> store::LocalBoxFuture<'a, interface::GrantResult>;
+    ) -> store::LocalBoxFuture<'a, CallResult<interface::GrantResult>>;
 
     /// Asks a former owner to release a range.
     fn release<'a>(
         &'a self,
         command: &'a interface::ReleaseCommand,
-    ) -> store::LocalBoxFuture<'a, interface::ReleaseResult>;
+    ) -> store::LocalBoxFuture<'a, CallResult<interface::ReleaseResult>>;
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod calls;
+mod departures;
 mod limits;
 mod peers;
 mod sync;
@@ -145,6 +146,7 @@
         self.spawn(Self::update_gauges(self.clone()));
         self.spawn(Self::receive_datagrams(self.clone()));
         self.spawn(Self::send_asks(self.clone()));
+        self.spawn(Self::pass_on_departures(self.clone()));
         async_io::block_on(self.executor.run(stop));
     }
 
--- a/src/fleet/control/calls.rs
+++ b/src/fleet/control/calls.rs
@@ -160,7 +160,11 @@
             let now = clock.now();
             now < deadline && authority.is_some_and(|until| now < until)
         };
-        let result = this.grants.grant(&command, Rc::new(guard)).await;
+        let called = this.grants.grant(&command, Rc::new(guard)).await;
+        if called.leaving {
+            this.note_call_departure(&service, command.owner.key);
+        }
+        let result = called.result;
         this.context.metrics.fleet.record_grant(&service, result);
         this.handle(
             &service,
@@ -191,7 +195,11 @@
         service: String,
         command: interface::ReleaseCommand,
     ) {
-        let result = this.grants.release(&command).await;
+        let called = this.grants.release(&command).await;
+        if called.leaving {
+            this.note_call_departure(&service, command.owner.key);
+        }
+        let result = called.result;
         this.handle(
             &service,
             interface::OwnershipEvent::ReleaseFinished {
--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -145,7 +145,7 @@
         }
     }
 
-    fn upstream_id(&self, key: ids::UpstreamKey) -> String {
+    pub(super) fn upstream_id(&self, key: ids::UpstreamKey) -> String {
         let mirror = self.mirror.borrow();
         let known = mirror.directory.iter().find(|known| known.key == key);
         known.map_or_else(|| key.to_string(), |known| known.entry.id.to_string())
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -94,12 +94,14 @@
         let known = self.mirror.borrow().record_version(service);
         let members = Some(self.members_version(service));
         let stopping = self.context.is_stopping();
+        let mut leaving = self.departing_owners(service);
         for load in report.split(peer::MAX_REPORT_COUNTS) {
             let content = peer::MessageContent::Report {
                 leading,
                 known,
                 members,
                 stopping,
+                leaving: std::mem::take(&mut leaving),
                 load,
             };
             self.send_datagram(service, address, content);
@@ -186,9 +188,11 @@
                 known,
                 members,
                 stopping,
+                leaving,
                 load,
             } => {
                 self.note_follower(&service, &message.name, sender);
+                self.note_reported_departures(&service, &leaving);
                 let known = self.resolve_version(known);
                 self.note_members_report(&service, &message.name, members, stopping);
                 self.resend_record(&service, &message.name, known);
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -16,6 +16,29 @@
     Allocator,
 }
 
+/// From whom an instance learned that an upstream leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DepartureSource {
+    /// A response of the upstream to a request.
+    Response,
+    /// Its response to a grant or release call.
+    GrantCall,
+    /// The report of another instance.
+    Report,
+}
+
+impl DepartureSource {
+    /// Returns the source's name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DepartureSource::Response => "response",
+            DepartureSource::GrantCall => "grant-call",
+            DepartureSource::Report => "report",
+        }
+    }
+}
+
 macro_rules! state_event {
     ($(#[$doc:meta])* $name:ident, $event:literal, { $($(#[$field_meta:meta])* $field:ident: $kind:ty),* $(,)? }) => {
         $(#[$doc])*
@@ -96,6 +119,14 @@
         source: LimitSource,
     }
 }
+state_event! {
+    /// An upstream was found to leave.
+    UpstreamLeaving, "upstream-leaving", { upstream: String, service: String, source: DepartureSource }
+}
+state_event! {
+    /// An upstream wants no requests from this instance for a while.
+    UpstreamPaused, "upstream-pause", { upstream: String, service: String, ms: u64 }
+}
 state_event! {
     /// The instances changed among which limits are divided.
     MembersChanged, "limit-members", { service: String, era: u64, revision: u64, sequence: u64, instances: usize }
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -280,6 +280,13 @@
         }
     }
 
+    /// Notes that an upstream said that it leaves.
+    pub fn note_leaving(&mut self, now: Duration, upstream: ids::UpstreamKey) -> MirrorEffect {
+        let change = self.directory.note_leaving(now, upstream);
+        let revision = self.as_of.revision;
+        self.log_upstream_changes(change.into_iter().collect(), revision)
+    }
+
     /// Removes upstreams that did not register again in time after an outage of the store.
     pub fn expire(&mut self, now: Duration) -> MirrorEffect {
         let changes = self.directory.expire(now);
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -33,6 +33,9 @@
     pub content: MessageContent,
 }
 
+/// Most upstreams that leave in one report; the others follow once these own no keys.
+pub const MAX_REPORT_DEPARTURES: usize = 32;
+
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MessageContent {
     /// Periodic message of an instance to a service's leader, or response to a probe.
@@ -46,6 +49,8 @@
         members: Option<store::AnnouncedVersion>,
         /// Whether the sender stops and should allocate no limits any more.
         stopping: bool,
+        /// Upstreams that own keys, as far as the sender knows, and told it that they leave.
+        leaving: Vec<ids::UpstreamKey>,
         load: load::LoadReport,
     },
     /// Response of a service's leader to a report, or its probe of an earlier leader.
--- a/src/fleet/peer/wire.rs
+++ b/src/fleet/peer/wire.rs
@@ -63,6 +63,8 @@
     members: Option<WireVersion>,
     #[prost(bool, tag = "9")]
     stopping: bool,
+    #[prost(fixed64, repeated, tag = "10")]
+    leaving: Vec<u64>,
 }
 
 impl From<&load::LoadReport> for WireReport {
@@ -78,6 +80,7 @@
             known: None,
             members: None,
             stopping: false,
+            leaving: Vec::new(),
         }
     }
 }
@@ -259,12 +262,14 @@
                 known,
                 members,
                 stopping,
+                leaving,
                 load,
             } => WireContent::Report(WireReport {
                 leading: *leading,
                 known: Some((*known).into()),
                 members: members.map(WireVersion::from),
                 stopping: *stopping,
+                leaving: leaving.iter().map(|upstream| upstream.0).collect(),
                 ..WireReport::from(load)
             }),
             super::MessageContent::Heartbeat {
@@ -312,6 +317,12 @@
                 known: report.known.unwrap_or_default().into(),
                 members: report.members.map(store::AnnouncedVersion::from),
                 stopping: report.stopping,
+                leaving: report
+                    .leaving
+                    .iter()
+                    .take(super::MAX_REPORT_DEPARTURES)
+                    .map(|upstream| ids::UpstreamKey(*upstream))
+                    .collect(),
                 load: report.into(),
             },
             WireContent::Heartbeat(heartbeat) => super::MessageContent::Heartbeat {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -4,6 +4,7 @@
 use crate::fleet::events;
 use crate::gateway::{caller, context, exchange, pools, progress, response, view};
 use crate::limits;
+use crate::notices;
 use crate::outcome;
 use crate::routing;
 use crate::timer;
@@ -106,8 +107,8 @@
                 (forwarded, None)
             }
             Err(reason) => {
-                let limited = progress.retry_after;
-                let delay = (reason.status() == 503).then(|| retry_after(&routed, reason, limited));
+                let turn = progress.caller_turn;
+                let delay = (reason.status() == 503).then(|| retry_after(&routed, reason, turn));
                 (
                     response::CallerResponse::refusal(reason, delay),
                     Some(reason),
@@ -212,7 +213,8 @@
                 Ok(permit) => permit,
                 Err(reason) => return progress.give_up(reason),
             };
-            let attempt = self.attempt(routed, &permit).await;
+            let attempt = self.attempt(routed, &permit, progress).await;
+            let permit_pool = permit.pool().clone();
             drop(permit);
             progress.record(&attempt);
             let upstream = attempt.upstream.key;
@@ -222,6 +224,9 @@
                     true
                 }
                 Ok(response) => return Ok(response),
+                Err(error) if self.note_paused_owner(routed, &error, &permit_pool, progress) => {
+                    return progress.give_up(response::RefusalReason::UpstreamPaused);
+                }
                 Err(error) if self.may_retry_error(routed, &error, progress) => false,
                 Err(error) => return progress.give_up(refusal_reason(&error)),
             };
@@ -238,6 +243,7 @@
         &self,
         routed: &RoutedRequest<'_>,
         permit: &pools::PoolPermit,
+        progress: &progress::AttemptProgress,
     ) -> progress::FinishedAttempt {
         let pool = permit.pool();
         let started = Instant::now();
@@ -245,6 +251,7 @@
             head: &routed.request.head,
             body: &routed.request.body,
             request_id: routed.request_id,
+            used_connections: &progress.connections,
             deadline: routed.deadline,
             slack: TIMEOUT_SLACK,
         };
@@ -256,12 +263,20 @@
             exchange::FinishedExchange {
                 result: Err(exchange::ExchangeError::Timeout),
                 statement: None,
+                notice: notices::UpstreamNotice::default(),
+                connection: None,
             }
         };
         let exchange = exchange::exchange(pool, &self.context.header_names, &outgoing);
-        let exchange::FinishedExchange { result, statement } = future::or(exchange, ended).await;
+        let exchange::FinishedExchange {
+            result,
+            statement,
+            notice,
+            connection,
+        } = future::or(exchange, ended).await;
         let elapsed = started.elapsed();
         let upstream = pool.view.borrow().clone();
+        self.apply_notice(&routed.service, &upstream, notice, result.is_ok());
         if let Some(statement) = statement {
             self.note_limit(&routed.service, &upstream, sent, statement);
         }
@@ -278,10 +293,39 @@
         progress::FinishedAttempt {
             upstream,
             result,
+            connection,
             elapsed,
         }
     }
 
+    /// Applies what responses say of their upstream; `answered` if it took the request.
+    fn apply_notice(
+        &self,
+        service: &Arc<str>,
+        upstream: &view::UpstreamView,
+        notice: notices::UpstreamNotice,
+        answered: bool,
+    ) {
+        let now = self.context.clock.now();
+        if notice.leaving {
+            self.context.departures.note(now, service, upstream.key);
+        }
+        let Some(pause) = notice.pause else {
+            if answered {
+                self.context.pauses.note_accepted(now, upstream.key);
+            }
+            return;
+        };
+        if self.context.pauses.note(now, upstream.key, pause) {
+            self.context.metrics.record_pause(service);
+            self.context.log.emit(&events::UpstreamPaused {
+                upstream: upstream.id.to_string(),
+                service: service.to_string(),
+                ms: pause.as_millis() as u64,
+            });
+        }
+    }
+
     /// Notes what a response to a request sent at `sent` says of its upstream's limit.
     fn note_limit(
         &self,
@@ -333,6 +377,36 @@
         }
     }
 
+    /// Returns whether the owner of the request's key wants no requests now, so that a
+    /// request that did not run has no place to go, and notes when the caller may return.
+    fn note_paused_owner(
+        &self,
+        routed: &RoutedRequest<'_>,
+        error: &exchange::ExchangeError,
+        owner: &pools::UpstreamPool,
+        progress: &mut progress::AttemptProgress,
+    ) -> bool {
+        if routed.key.is_none() || error.outcome() != outcome::Outcome::NotRun {
+            return false;
+        }
+        let turn = self.next_turn(owner);
+        if let Some(turn) = turn {
+            progress.note_turn(turn);
+        }
+        turn.is_some()
+    }
+
+    /// Returns when a caller should return for whom this upstream was the only one, if
+    /// the upstream wants no requests now.
+    pub(super) fn next_turn(&self, pool: &pools::UpstreamPool) -> Option<progress::CallerTurn> {
+        let upstream = pool.view.borrow().key;
+        let (latency, _) = pool.latency(Instant::now());
+        let spacing = Duration::from_secs_f64(latency.max(0.0));
+        let now = self.context.clock.now();
+        let next = self.context.pauses.next_return(now, upstream, spacing);
+        next.map(|(earliest, turn)| progress::CallerTurn { earliest, turn })
+    }
+
     /// Returns whether a request that may have run may be sent once more.
     ///
     /// Spends from the retry budget.
@@ -404,22 +478,23 @@
     }
 }
 
-/// Returns the `Retry-After` of a refusal.
-///
-/// `limited` is the time after which an upstream's limit may allow the request.
+/// Returns the `Retry-After` of a refusal; `turn` is the caller's at an upstream that a
+/// limit or a pause closes.
 fn retry_after(
     routed: &RoutedRequest<'_>,
     reason: response::RefusalReason,
-    limited: Option<Duration>,
+    turn: Option<progress::CallerTurn>,
 ) -> Duration {
     let left = routed.deadline.saturating_duration_since(Instant::now());
+    let max = left.mul_f64(MAX_RETRY_AFTER_SHARE);
     let jittered = BASE_RETRY_AFTER + BASE_RETRY_AFTER.mul_f64(fastrand::f64());
-    let delay = match reason {
-        response::RefusalReason::NoOwner => NO_OWNER_RETRY_AFTER,
-        response::RefusalReason::RateLimited => limited.unwrap_or(jittered),
-        _ => jittered,
+    let delay = match (reason, turn) {
+        (response::RefusalReason::NoOwner, _) => NO_OWNER_RETRY_AFTER.min(max),
+        (
+            response::RefusalReason::RateLimited | response::RefusalReason::UpstreamPaused,
+            Some(turn),
+        ) => turn.delay(max),
+        _ => jittered.min(max),
     };
-    delay
-        .min(left.mul_f64(MAX_RETRY_AFTER_SHARE))
-        .max(Duration::from_millis(10))
+    delay.max(Duration::from_millis(10))
 }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -3,6 +3,7 @@
 use crate::gateway::{pools, view};
 use crate::ids;
 use crate::limits::table;
+use crate::notices::{departures, pauses};
 use smallvec::SmallVec;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,6 +49,10 @@
     pub limited: &'a TriedList,
     /// Limits that upstreams state.
     pub limits: &'a table::LimitTable,
+    /// Upstreams that said that they leave.
+    pub departures: &'a departures::DepartureTable,
+    /// Upstreams that want no requests for a while.
+    pub pauses: &'a pauses::PauseTable,
     /// Length of the request's body, in bytes.
     pub body_bytes: usize,
     /// Latency objective of the route.
@@ -70,6 +75,8 @@
     AtLimit,
     /// The limits that the usable upstreams state allow no request now.
     RateLimited,
+    /// The usable upstreams want no requests now; the first one to end its pause.
+    Paused(Rc<pools::UpstreamPool>),
     /// Every upstream is draining or was already tried.
     NoneUsable,
 }
@@ -103,27 +110,36 @@
 ) -> Choice {
     let now = Instant::now();
     let usable = service.upstreams.iter().filter(|upstream| {
-        upstream.draining_since.is_none() && !request.tried.contains(&upstream.key)
+        upstream.draining_since.is_none()
+            && request.departures.since(upstream.key).is_none()
+            && !request.tried.contains(&upstream.key)
     });
-    let candidates: SmallVec<[Rc<pools::UpstreamPool>; 16]> =
-        usable.map(|upstream| pools.get(upstream)).collect();
+    let candidates: CandidateList = usable.map(|upstream| pools.get(upstream)).collect();
     if candidates.is_empty() {
         return Choice::NoneUsable;
     }
-    let candidates: SmallVec<[Rc<pools::UpstreamPool>; 16]> = candidates
+    let candidates: CandidateList = candidates
         .into_iter()
         .filter(|pool| !request.is_rate_limited(pool.view.borrow().key))
         .collect();
     if candidates.is_empty() {
         return Choice::RateLimited;
     }
+    let (candidates, paused) = part_paused(candidates, request);
+    if candidates.is_empty() {
+        return paused.map_or(Choice::NoneUsable, Choice::Paused);
+    }
     let any_healthy = candidates.iter().any(|pool| !pool.is_ejected(now));
     let mean = mean_latency(&candidates, now);
     let mut best: Option<(f64, &Rc<pools::UpstreamPool>)> = None;
     for pool in &candidates {
         let view = pool.view.borrow();
         let limit = request_limit(pool, view.slots, instances, request.latency_objective, now);
-        let at_limit = pool.in_flight() >= limit;
+        let window = match request.pauses.state(request.boot_now, view.key) {
+            pauses::PauseState::Returning(window) => window,
+            pauses::PauseState::Open | pauses::PauseState::Paused(_) => usize::MAX,
+        };
+        let at_limit = pool.in_flight() >= limit.min(window);
         if at_limit || (any_healthy && pool.is_ejected(now)) {
             continue;
         }
@@ -137,6 +153,34 @@
     })
 }
 
+/// Upstreams that may be chosen.
+type CandidateList = SmallVec<[Rc<pools::UpstreamPool>; 16]>;
+
+/// Removes the upstreams that want no requests now; returns also the one of them whose
+/// pause ends first.
+fn part_paused(
+    candidates: CandidateList,
+    request: &ChoiceInput<'_>,
+) -> (CandidateList, Option<Rc<pools::UpstreamPool>>) {
+    if request.pauses.is_empty() {
+        return (candidates, None);
+    }
+    let mut first: Option<(Duration, Rc<pools::UpstreamPool>)> = None;
+    let mut open = CandidateList::new();
+    for pool in candidates {
+        let upstream = pool.view.borrow().key;
+        match request.pauses.state(request.boot_now, upstream) {
+            pauses::PauseState::Paused(left) => {
+                if first.as_ref().is_none_or(|(least, _)| left < *least) {
+                    first = Some((left, pool));
+                }
+            }
+            pauses::PauseState::Open | pauses::PauseState::Returning(_) => open.push(pool),
+        }
+    }
+    (open, first.map(|(_, pool)| pool))
+}
+
 /// Returns the weighted mean latency in seconds; 1 if no latency has any weight left.
 fn mean_latency(candidates: &[Rc<pools::UpstreamPool>], now: Instant) -> f64 {
     let (sum, weights) = candidates
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -7,6 +7,7 @@
 use crate::ids;
 use crate::limits::table;
 use crate::metrics;
+use crate::notices::{departures, pauses};
 use crate::ownership::load;
 use crate::routing;
 use arc_swap::ArcSwap;
@@ -29,6 +30,9 @@
     pub retry_ratio: f64,
     /// Retries that all instances together may send at once.
     pub retry_burst: f64,
+    /// Time after an upstream begins to leave for which it still gets requests for keys
+    /// that it owns.
+    pub drain_grace: Duration,
 }
 
 /// State that the threads of an instance share.
@@ -43,6 +47,10 @@
     pub clock: Arc<dyn clock::Clock>,
     /// Limits that upstreams state.
     pub limits: table::LimitTable,
+    /// Upstreams that said that they leave.
+    pub departures: departures::DepartureTable,
+    /// Upstreams that want no requests for a while.
+    pub pauses: pauses::PauseTable,
     /// Requests that were read and have no response yet.
     pub in_flight: AtomicUsize,
     stopping_since: OnceLock<Instant>,
@@ -114,6 +122,8 @@
             log,
             clock,
             limits: table::LimitTable::default(),
+            departures: departures::DepartureTable::default(),
+            pauses: pauses::PauseTable::default(),
             in_flight: AtomicUsize::new(0),
             stopping_since: OnceLock::new(),
             close_idle: Event::new(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 use crate::h1;
 use crate::h1::{head, reader, socket};
 use crate::limits;
+use crate::notices::{self, pauses};
 use crate::outcome;
 use crate::timer;
 use async_io::Timer;
@@ -100,6 +101,10 @@
     pub body: &'a Bytes,
     /// ID that the caller gave the request, if any.
     pub request_id: Option<&'a str>,
+    /// Connections on which the request was sent before.
+    ///
+    /// A copy of the earlier response could not be told from the response to this attempt.
+    pub used_connections: &'a [reader::ConnectionNumber],
     pub deadline: Instant,
     /// Time after the deadline for which the upstream's own response is still awaited.
     pub slack: Duration,
@@ -147,6 +152,47 @@
     pub result: Result<UpstreamResponse, ExchangeError>,
     /// What the response says of the upstream's limit; absent without a response.
     pub statement: Option<limits::LimitStatement>,
+    /// What all responses say that arrived, also those that cannot be passed on.
+    pub notice: notices::UpstreamNotice,
+    /// Connection on which the request was sent, if there was one.
+    pub connection: Option<reader::ConnectionNumber>,
+}
+
+/// What is known of an exchange whether or not it ends with a response.
+#[derive(Debug, Default)]
+struct ExchangeTrace {
+    /// Bytes of the request that the kernel took.
+    written: Cell<usize>,
+    notice: Cell<notices::UpstreamNotice>,
+    connection: Cell<Option<reader::ConnectionNumber>>,
+}
+
+impl ExchangeTrace {
+    fn note_head(&self, names: &header_names::HeaderNames, head: &head::ResponseHead) {
+        let mut notice = self.notice.get();
+        notice.merge(read_notice(names, head));
+        self.notice.set(notice);
+    }
+}
+
+/// Returns whether a response says that its upstream leaves.
+pub fn is_leaving(names: &header_names::HeaderNames, head: &head::ResponseHead) -> bool {
+    let leaving = head.fields.get(names.leaving);
+    leaving.is_some_and(|value| value.trim() == "1")
+}
+
+/// Returns what a response says of its upstream.
+fn read_notice(
+    names: &header_names::HeaderNames,
+    head: &head::ResponseHead,
+) -> notices::UpstreamNotice {
+    let pause = head.fields.get("retry-after");
+    notices::UpstreamNotice {
+        leaving: is_leaving(names, head),
+        pause: pause
+            .filter(|_| head.status == 503)
+            .and_then(pauses::parse_pause),
+    }
 }
 
 /// Sends a request to an upstream and reads the whole response.
@@ -158,9 +204,10 @@
     request: &OutgoingRequest<'_>,
 ) -> FinishedExchange {
     let left = request.deadline.saturating_duration_since(Instant::now());
+    let trace = ExchangeTrace::default();
     let exchanged = timer::within(
         left + request.slack,
-        exchange_without_timeout(pool, names, request),
+        exchange_without_timeout(pool, names, request, &trace),
     )
     .await;
     let response = exchanged.unwrap_or(Err(ExchangeError::Timeout));
@@ -171,6 +218,8 @@
     FinishedExchange {
         result: response.and_then(|response| classify(response, names)),
         statement,
+        notice: trace.notice.get(),
+        connection: trace.connection.get(),
     }
 }
 
@@ -178,15 +227,16 @@
     pool: &Rc<pools::UpstreamPool>,
     names: &header_names::HeaderNames,
     request: &OutgoingRequest<'_>,
+    trace: &ExchangeTrace,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let upstream = pool.view.borrow().clone();
-    let mut reader = connect(pool, &upstream.address).await?;
+    let mut reader = connect(pool, &upstream.address, request.used_connections).await?;
+    trace.connection.set(Some(reader.number()));
     let head = request.encode(names, &upstream.id);
     let socket = reader.socket().clone();
-    let written = Cell::new(0);
     let sent = Cell::new(false);
     let write = async {
-        match write_parts(&socket, [&head, request.body], &written).await {
+        match write_parts(&socket, [&head, request.body], &trace.written).await {
             Ok(()) => {
                 sent.set(true);
                 future::pending().await
@@ -194,13 +244,13 @@
             Err(error) => {
                 Timer::after(EARLY_RESPONSE_WAIT).await;
                 Err(ExchangeError::Broken {
-                    written: written.get(),
+                    written: trace.written.get(),
                     source: error.into(),
                 })
             }
         }
     };
-    let read = read_response(&mut reader, names, request, &written);
+    let read = read_response(&mut reader, names, request, trace);
     let response = future::or(write, read).await?;
     if sent.get() && response.head.framing != h1::body::BodyFraming::UntilClose {
         pool.put_idle(reader, &response.head);
@@ -211,8 +261,9 @@
 async fn connect(
     pool: &Rc<pools::UpstreamPool>,
     address: &std::net::SocketAddr,
+    used: &[reader::ConnectionNumber],
 ) -> Result<reader::MessageReader, ExchangeError> {
-    if let Some(reader) = pool.take_idle() {
+    if let Some(reader) = pool.take_idle(used) {
         return Ok(reader);
     }
     match timer::within(CONNECT_TIMEOUT, socket::connect(*address)).await {
@@ -243,24 +294,30 @@
 }
 
 /// Reads the response to this request, skipping late responses to other requests.
+///
+/// A response without an ID may be a copy of an earlier one, unless it is the first on
+/// its connection.
 async fn read_response(
     reader: &mut reader::MessageReader,
     names: &header_names::HeaderNames,
     request: &OutgoingRequest<'_>,
-    written: &Cell<usize>,
+    trace: &ExchangeTrace,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let broken = |source| ExchangeError::Broken {
-        written: written.get(),
+        written: trace.written.get(),
         source,
     };
     for _ in 0..=MAX_OTHER_RESPONSES {
+        let is_first = !reader.has_read_response();
         let head = reader.response_head(&request.head.method).await;
         let head = head.map_err(broken)?;
+        trace.note_head(names, &head);
         let body = reader.body(head.framing, MAX_RESPONSE_BYTES).await;
         let body = body.map_err(broken)?;
         let response_id = head.fields.get(names.request_id);
         let other_request = match (response_id, request.request_id) {
             (Some(response_id), Some(id)) => response_id != id,
+            (None, Some(_)) if !is_first => return Err(ExchangeError::Unusable),
             _ => false,
         };
         if !other_request {
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -16,6 +16,8 @@
     /// Requests per second that the upstream takes from all instances together, if it
     /// limits them.
     pub request_rate: &'static str,
+    /// Has the value `1` in all responses of an upstream that leaves.
+    pub leaving: &'static str,
     /// Key of a request to a keyed service.
     pub key: &'static str,
 }
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -137,10 +137,20 @@
     }
 
     /// Takes an idle connection that has not expired and that the upstream has not closed.
-    pub fn take_idle(&self) -> Option<reader::MessageReader> {
+    ///
+    /// Takes none of `excluded`.
+    pub fn take_idle(
+        &self,
+        excluded: &[reader::ConnectionNumber],
+    ) -> Option<reader::MessageReader> {
         let now = Instant::now();
         loop {
-            let connection = self.state.borrow_mut().idle.pop()?;
+            let connection = {
+                let mut state = self.state.borrow_mut();
+                let allowed = |idle: &IdleConnection| !excluded.contains(&idle.reader.number());
+                let index = state.idle.iter().rposition(allowed)?;
+                state.idle.remove(index)
+            };
             if now < connection.expires && socket::is_idle(connection.reader.socket()) {
                 return Some(connection.reader);
             }
--- a/src/gateway/progress.rs
+++ b/src/gateway/progress.rs
@@ -1,6 +1,7 @@
 //! State of one request across its attempts.
 
 use crate::gateway::{choice, exchange, response, view};
+use crate::h1::reader;
 use crate::ids;
 use crate::outcome;
 use event_listener::EventListener;
@@ -19,10 +20,36 @@
     pub ms: u64,
 }
 
+/// Times after which a refused caller may return.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerTurn {
+    /// When the first refused caller may be served.
+    pub earliest: Duration,
+    /// When it is this caller's turn, behind those that were refused before.
+    pub turn: Duration,
+}
+
+impl CallerTurn {
+    /// Returns when to return for a caller that can wait for `max` at most.
+    ///
+    /// Callers whose turn comes later spread over the time that is left for them.
+    pub fn delay(self, max: Duration) -> Duration {
+        match self.turn <= max {
+            true => self.turn,
+            false => {
+                let first = self.earliest.min(max);
+                first + (max - first).mul_f64(fastrand::f64())
+            }
+        }
+    }
+}
+
 /// An attempt that ended, with or without a response.
 pub struct FinishedAttempt {
     pub upstream: Arc<view::UpstreamView>,
     pub result: Result<exchange::UpstreamResponse, exchange::ExchangeError>,
+    /// Connection on which the request was sent, if there was one.
+    pub connection: Option<reader::ConnectionNumber>,
     pub elapsed: Duration,
 }
 
@@ -33,8 +60,10 @@
     pub tried: choice::TriedList,
     /// Upstreams whose limit allowed no attempt now.
     pub limited: choice::TriedList,
-    /// Shortest time after which one of them may allow an attempt.
-    pub retry_after: Option<Duration>,
+    /// When the caller may return, if an upstream that allows no attempt now tells.
+    pub caller_turn: Option<CallerTurn>,
+    /// Connections on which the request was sent.
+    pub connections: SmallVec<[reader::ConnectionNumber; 4]>,
     /// Number of attempts in which the request ran or may have run.
     pub possible_runs: u32,
     /// Last response with a 5xx status.
@@ -51,6 +80,7 @@
             Err(error) => (error.as_str(), error.outcome() == outcome::Outcome::NotRun),
         };
         self.possible_runs += u32::from(!not_run);
+        self.connections.extend(attempt.connection);
         self.traces.push(AttemptTrace {
             upstream: attempt.upstream.id.clone(),
             result,
@@ -61,8 +91,16 @@
     /// Notes that an upstream's limit allows no attempt for `retry_after`.
     pub fn note_limited(&mut self, upstream: ids::UpstreamKey, retry_after: Duration) {
         self.limited.push(upstream);
-        let shortest = self.retry_after.unwrap_or(Duration::MAX).min(retry_after);
-        self.retry_after = Some(shortest);
+        self.note_turn(CallerTurn {
+            earliest: retry_after,
+            turn: retry_after,
+        });
+    }
+
+    /// Notes when an upstream may allow an attempt.
+    pub fn note_turn(&mut self, turn: CallerTurn) {
+        let soonest = self.caller_turn.filter(|known| known.turn <= turn.turn);
+        self.caller_turn = Some(soonest.unwrap_or(turn));
     }
 
     /// Ends the request with an earlier 5xx response of an upstream, or with a refusal.
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -5,8 +5,10 @@
 
 use crate::gateway::{attempts, choice, pools, progress, response, view};
 use crate::limits::table;
+use crate::notices::pauses;
 use crate::timer;
 use event_listener::EventListener;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Share of the latency objective for which a request waits for an owner or for capacity.
@@ -15,14 +17,13 @@
 /// Share of the latency objective for which a request waits for its turn under a limit.
 const MAX_LIMIT_WAIT_SHARE: f64 = 0.25;
 
-/// Time after the start of draining for which an owner still gets requests for its keys.
-const DRAINING_OWNER_GRACE: Duration = Duration::from_millis(1200);
-
 /// Why no attempt can be made now.
 enum Unavailable {
     /// An attempt may become possible.
     Wait(WaitReason),
     Refused(response::RefusalReason),
+    /// The upstreams that may get the request want none; the first one to end its pause.
+    Paused(Rc<pools::UpstreamPool>),
 }
 
 /// What an attempt waits for, with a listener for when that may have changed.
@@ -42,16 +43,24 @@
         let wait = routed.rule.latency_objective.mul_f64(MAX_WAIT_SHARE);
         let until = (Instant::now() + wait).min(routed.deadline);
         progress.limited.clear();
-        progress.retry_after = None;
+        progress.caller_turn = None;
         loop {
             let reason = match self.try_reserve(routed, progress) {
                 Ok(permit) => match self.admit(routed, &permit, progress).await {
+                    // What it said of itself meanwhile also counts.
+                    true if self.is_closed(permit.pool()) => continue,
                     true => return Ok(permit),
                     // Another upstream may get it, unless the key has an owner.
                     false if routed.key.is_none() => continue,
                     false => return Err(response::RefusalReason::RateLimited),
                 },
                 Err(Unavailable::Refused(reason)) => return Err(reason),
+                Err(Unavailable::Paused(pool)) => {
+                    if let Some(turn) = self.next_turn(&pool) {
+                        progress.note_turn(turn);
+                    }
+                    return Err(response::RefusalReason::UpstreamPaused);
+                }
                 Err(Unavailable::Wait(reason)) => reason,
             };
             let cutoff = self.context.attempt_cutoff();
@@ -96,6 +105,13 @@
         false
     }
 
+    /// Returns whether an upstream began a pause while the request waited for its turn.
+    fn is_closed(&self, pool: &pools::UpstreamPool) -> bool {
+        let (now, upstream) = (self.context.clock.now(), pool.view.borrow().key);
+        let state = self.context.pauses.state(now, upstream);
+        matches!(state, pauses::PauseState::Paused(_))
+    }
+
     /// Returns a permit, or why there is none.
     fn try_reserve(
         &self,
@@ -114,6 +130,8 @@
                 tried: &progress.tried,
                 limited: &progress.limited,
                 limits: &self.context.limits,
+                departures: &self.context.departures,
+                pauses: &self.context.pauses,
                 body_bytes: routed.request.body.len(),
                 latency_objective: routed.rule.latency_objective,
                 boot_now: now,
@@ -128,6 +146,7 @@
                 choice::Choice::RateLimited => {
                     Err(Unavailable::Refused(response::RefusalReason::RateLimited))
                 }
+                choice::Choice::Paused(pool) => Err(Unavailable::Paused(pool)),
             };
         };
         let view::KeyOwner::Upstream(owner) = service.owner(key) else {
@@ -135,14 +154,23 @@
         };
         let pool = self.pools.get(&owner);
         let freed = pool.listen();
-        let drained = |since: Duration| now >= since + DRAINING_OWNER_GRACE;
-        if owner.draining_since.is_some_and(drained) || pool.is_ejected(Instant::now()) {
+        let drained = |since: Duration| now >= since + self.context.settings.drain_grace;
+        let leaving_since = self.context.departures.since(owner.key);
+        if owner.draining_since.is_some_and(drained)
+            || leaving_since.is_some_and(drained)
+            || pool.is_ejected(Instant::now())
+        {
             return Err(Unavailable::Wait(WaitReason::NoOwner(view_changed)));
         }
+        let window = match self.context.pauses.state(now, owner.key) {
+            pauses::PauseState::Paused(_) => return Err(Unavailable::Paused(pool)),
+            pauses::PauseState::Returning(window) => window,
+            pauses::PauseState::Open => usize::MAX,
+        };
         let objective = routed.rule.latency_objective;
         let instances = view.instances;
         let limit = choice::request_limit(&pool, owner.slots, instances, objective, Instant::now());
-        if pool.in_flight() >= limit {
+        if pool.in_flight() >= limit.min(window) {
             return Err(Unavailable::Wait(WaitReason::AtLimit(freed)));
         }
         Ok(self.pools.acquire(&pool))
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -40,6 +40,8 @@
     Overloaded,
     /// The upstreams that may get the request have reached the limit that they state.
     RateLimited,
+    /// The upstreams that may get the request want none for a stated time.
+    UpstreamPaused,
     /// Upstreams refused the request or could not be reached; it did not run.
     Refused,
     /// The deadline passed before the request was sent.
@@ -64,6 +66,7 @@
             | RefusalReason::NoOwner
             | RefusalReason::Overloaded
             | RefusalReason::RateLimited
+            | RefusalReason::UpstreamPaused
             | RefusalReason::Refused
             | RefusalReason::ExpiredUnsent => 503,
             RefusalReason::LostResponse => 502,
@@ -85,6 +88,7 @@
             RefusalReason::NoOwner => "no-owner",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::RateLimited => "rate-limited",
+            RefusalReason::UpstreamPaused => "upstream-paused",
             RefusalReason::Refused => "refused",
             RefusalReason::ExpiredUnsent => "expired-unsent",
             RefusalReason::LostResponse => "lost-answer",
--- a/src/gateway/thread.rs
+++ b/src/gateway/thread.rs
@@ -85,5 +85,8 @@
         let view = context.view.load();
         pools.trim(&view);
         context.limits.retain(|key| view.has_upstream(*key));
+        let now = context.clock.now();
+        context.departures.trim(now, |key| view.has_upstream(key));
+        context.pauses.trim(now);
     }
 }
--- a/src/h1/reader.rs
+++ b/src/h1/reader.rs
@@ -6,6 +6,7 @@
 use futures_lite::future;
 use std::cell::RefCell;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Poll, ready};
 use tokio_util::bytes::{Bytes, BytesMut};
 
@@ -30,11 +31,21 @@
 /// Reads without a pause after which other connections get their turn.
 const READS_PER_TURN: u32 = 16;
 
+/// Connections of this process so far.
+static CONNECTION_COUNT: AtomicU64 = AtomicU64::new(0);
+
+/// Number of a connection, unique in this process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionNumber(u64);
+
 /// Buffered reading side of a connection.
 #[derive(Debug)]
 pub struct MessageReader {
+    number: ConnectionNumber,
     socket: socket::SharedSocket,
     buffer: BytesMut,
+    /// Heads of responses that were read, without interim ones.
+    responses: u64,
     /// Reads since other connections got their turn.
     reads: u32,
 }
@@ -43,12 +54,23 @@
     /// Creates a reader of a connection on which nothing was read yet.
     pub fn new(socket: socket::SharedSocket) -> MessageReader {
         MessageReader {
+            number: ConnectionNumber(CONNECTION_COUNT.fetch_add(1, Ordering::Relaxed)),
             socket,
             buffer: BytesMut::new(),
+            responses: 0,
             reads: 0,
         }
     }
 
+    pub fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
+    /// Returns whether a response was read on the connection.
+    pub fn has_read_response(&self) -> bool {
+        self.responses > 0
+    }
+
     pub fn socket(&self) -> &socket::SharedSocket {
         &self.socket
     }
@@ -120,6 +142,7 @@
                 let parsed = head::ResponseHead::parse(&raw, method)?;
                 let (head, _) = parsed.ok_or(h1::ReadError::Malformed("invalid response head"))?;
                 if head.status >= 200 {
+                    self.responses += 1;
                     return Ok(head);
                 }
                 interim += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 mod liveness;
 pub mod message;
 pub mod metrics;
+pub mod notices;
 pub mod operators;
 pub mod outcome;
 pub mod ownership;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,8 @@
     budget_decisions: Counter<u64>,
     limited_attempts: Counter<u64>,
     limit_refusals: Counter<u64>,
+    pauses: Counter<u64>,
+    departures: Counter<u64>,
     pub control: ControlMetrics,
     pub fleet: telemetry::FleetMetrics,
 }
@@ -109,6 +111,14 @@
                 .u64_counter("godwitloom.limit.refusals")
                 .with_description("Attempts that the limit of an upstream did not allow")
                 .build(),
+            pauses: meter
+                .u64_counter("godwitloom.upstream.pauses")
+                .with_description("Times that an upstream wanted no requests for a while")
+                .build(),
+            departures: meter
+                .u64_counter("godwitloom.upstream.departures")
+                .with_description("Upstreams that were said to leave, by source")
+                .build(),
             control: ControlMetrics::new(&meter),
             fleet: telemetry::FleetMetrics::new(&meter),
             _provider: provider,
@@ -154,6 +164,17 @@
             .add(1, &labels(service, "result", result));
     }
 
+    /// Counts an upstream that wants no requests for a while.
+    pub fn record_pause(&self, service: &str) {
+        self.pauses
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts a notice that an upstream leaves; `source` tells where it came from.
+    pub fn record_departure(&self, service: &str, source: &'static str) {
+        self.departures.add(1, &labels(service, "source", source));
+    }
+
     pub fn record_retry(&self, service: &str) {
         self.retries
             .add(1, &[KeyValue::new("service", service.to_owned())]);
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -19,6 +19,7 @@
         expected_upstream: "Expected",
         responding_upstream: "Responding",
         not_run: "Not-Run",
+        leaving: "Leaving",
         request_rate: "Limit",
         key: "Key",
     };
@@ -28,6 +29,7 @@
         response_cutoff: Duration::ZERO,
         retry_ratio: 0.0,
         retry_burst: BURST as f64,
+        drain_grace: Duration::ZERO,
     };
     let (log, _) = EventLog::with_queue("gw-1");
     let metrics = Arc::new(MetricSet::new());
