Move load among hundreds of upstreams, and let a strong instance lead first

Upstreams that joined, or were slow, stayed as they were; busiest / mean 28 to 32. All 195 instances claimed at the first start, as nobody knew how many upstreams would come; an instance with 0.1 cores led, and its relay failed for 4 s.

First claims come in the order of processor time. The initial division waits until the leader has read the store itself. Announcements come further apart with many ranges.

--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -28,6 +28,10 @@
 /// within about this time.
 const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Time between two announcements for each range: the more there are, the more of them
+/// change, and the more instances have to be told.
+const ANNOUNCE_TIME_PER_RANGE: Duration = Duration::from_micros(500);
+
 /// Backoff after a failed claim or a lost leadership, and interval of probes.
 const CLAIM_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -252,7 +256,8 @@
 
     /// Announces all changes since the last announcement, if it is due.
     fn announce(&mut self, now: Duration, actions: &mut Vec<interface::OwnershipAction>) {
-        let due = now >= self.announced_at + MIN_ANNOUNCE_INTERVAL;
+        let interval = ANNOUNCE_TIME_PER_RANGE * self.assignments.len() as u32;
+        let due = now >= self.announced_at + interval.max(MIN_ANNOUNCE_INTERVAL);
         if !self.unannounced || !due || !self.leads_in_present_era() {
             return;
         }
--- a/src/ownership/core/election.rs
+++ b/src/ownership/core/election.rs
@@ -19,6 +19,12 @@
 /// claimed before most others begin.
 const CLAIM_SPREAD_PER_UPSTREAM: Duration = Duration::from_millis(12);
 
+/// Time over which the first claims of a service are spread by processor time.
+const FIRST_CLAIM_WINDOW: Duration = Duration::from_millis(2000);
+
+/// Time over which those of instances with equal processor time are spread.
+const FIRST_CLAIM_SPREAD: Duration = Duration::from_millis(300);
+
 impl OwnershipCore {
     pub(super) fn on_lease_opened(
         &mut self,
@@ -303,6 +309,9 @@
     /// processor time to lead come first; where hundreds have not, a few claim at a time.
     pub(super) fn claim_delay(&self) -> Duration {
         let run = self.me.run.0;
+        if self.view.record.is_none() {
+            return self.first_claim_delay();
+        }
         let upstreams = self.candidates.usable().count() as u32;
         let needed = LEADER_SHARE_PER_UPSTREAM * f64::from(upstreams);
         if self.settings.processor_share >= needed {
@@ -312,6 +321,18 @@
         WEAK_CLAIM_DELAY + spread.mul_f64((run % 1000) as f64 / 1000.0)
     }
 
+    /// Returns the delay of the claim of a service that never had an owner.
+    ///
+    /// The pattern: all instances start at the same time, before the upstreams have
+    /// registered, so that nobody knows what leading takes. Nothing is served yet: the
+    /// instances with the most processor time come first, and one has claimed before most
+    /// others begin.
+    fn first_claim_delay(&self) -> Duration {
+        let weakness = 1.0 - self.settings.processor_share.clamp(0.0, 1.0);
+        let turn = (self.me.run.0 % 1000) as f64 / 1000.0;
+        FIRST_CLAIM_WINDOW.mul_f64(weakness) + FIRST_CLAIM_SPREAD.mul_f64(turn)
+    }
+
     pub(super) fn renew_lease(
         &mut self,
         now: Duration,
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -193,7 +193,12 @@
         now: Duration,
         assignments: &mut Vec<assignment::AssignmentState>,
     ) -> bool {
-        let settled = now >= self.candidates_changed_at + INITIAL_SETTLE_TIME;
+        let begun = match &self.state {
+            leadership::LeadershipState::Leading(term) => term.begun,
+            _ => return false,
+        };
+        // A leader reads the store more often than it did before.
+        let settled = now >= self.candidates_changed_at.max(begun) + INITIAL_SETTLE_TIME;
         let mut keys: Vec<_> = self
             .candidates
             .usable()
--- a/src/ownership/rebalancing.rs
+++ b/src/ownership/rebalancing.rs
@@ -40,8 +40,21 @@
 /// Counted requests of the whole service below which no range moves for its load.
 const MIN_TOTAL_LOAD: f32 = 60.0;
 
-/// Share of the service's load below which a move is not worth its cost.
-const MIN_MOVE_SHARE: f32 = 0.008;
+/// Share of the mean load of an upstream below which a move is not worth its cost.
+///
+/// The pattern: among hundreds of upstreams the fair share of one is a small part of the
+/// service's load, and yet all that a slow one can take.
+const MIN_MOVE_SHARE: f32 = 0.13;
+
+/// Ranges for each upstream beyond which no range moves for its load, as a fraction.
+///
+/// The pattern: chance makes some of hundreds of owners look overloaded at every moment, and
+/// each move splits a range. Every range is renewed by itself, so that many of them would
+/// lengthen the grants, and with them the time until a lost owner is replaced.
+const MAX_RANGES: (usize, usize) = (3, 2);
+
+/// Ranges that may exist in any case.
+const MIN_MAX_RANGES: usize = 120;
 
 /// Load added for the mere size of all ranges, as a share of the service's load.
 const SIZE_LOAD_SHARE: f32 = 0.05;
@@ -215,7 +228,8 @@
     load: &load::LoadMap,
 ) -> Vec<RangeMove> {
     let mut moves: Vec<RangeMove> = Vec::new();
-    if load.total() < MIN_TOTAL_LOAD {
+    let max_ranges = (loads.entries.len() * MAX_RANGES.0 / MAX_RANGES.1).max(MIN_MAX_RANGES);
+    if load.total() < MIN_TOTAL_LOAD || assignments.len() >= max_ranges {
         return moves;
     }
     let movable = assignments.iter().filter(|assignment| {
@@ -277,7 +291,7 @@
     let to = loads.least_loaded()?;
     let target = loads.entries[&to];
     let room = mean * target.capacity - target.load;
-    let min_amount = load.total() * MIN_MOVE_SHARE;
+    let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
     for from in loads.by_descending_load() {
         let source = loads.entries[&from];
         let fair_share = mean * source.capacity;
--- a/tests/ownership_core/claims.rs
+++ b/tests/ownership_core/claims.rs
@@ -4,7 +4,7 @@
 use godwitloom::ownership::candidates;
 use godwitloom::ownership::core::OwnershipCore;
 use godwitloom::ownership::interface::{
-    CommitResult, LeaderView, OwnershipAction, OwnershipEvent, OwnershipSettings, StoreView,
+    CommitResult, OwnershipAction, OwnershipEvent, OwnershipSettings, StoreView,
 };
 use std::time::Duration;
 
@@ -31,17 +31,23 @@
     leader: Option<(Duration, f64)>,
 }
 
-fn view(leader: Option<LeaderView>, revision: u64) -> StoreView {
+/// What the instances know of the service without a leader.
+fn view(served_before: bool) -> StoreView {
     StoreView {
-        leader,
-        record: Some((record_of_other_leader(true), 5)),
-        as_of: at(revision),
+        leader: None,
+        record: served_before.then(|| (record_of_other_leader(true), 5)),
+        as_of: at(6),
     }
 }
 
 /// Lets instances with the given shares of a core lose their leader, and plays the claims.
 fn play(shares: &[f64], seed: u64) -> Vacancy {
-    let upstreams = (0..UPSTREAMS).map(|index| candidate(index, false));
+    play_claims(shares, seed, UPSTREAMS, view(true))
+}
+
+/// Plays the claims of instances that know the first `known` upstreams.
+fn play_claims(shares: &[f64], seed: u64, known: u16, view: StoreView) -> Vacancy {
+    let upstreams = (0..known).map(|index| candidate(index, false));
     let upstreams = candidates::CandidateTable::new(upstreams.collect());
     let core = |(index, share): (usize, &f64)| {
         let settings = OwnershipSettings {
@@ -63,7 +69,7 @@
     for index in 0..cores.len() {
         let updated = OwnershipEvent::CandidatesUpdated(upstreams.clone());
         events.push((index, updated));
-        events.push((index, OwnershipEvent::StoreUpdated(view(None, 6))));
+        events.push((index, OwnershipEvent::StoreUpdated(view.clone())));
     }
     while now < start + Duration::from_secs(4) {
         let known = vacancy
@@ -134,3 +140,17 @@
         assert!(time < Duration::from_secs(1), "{time:?} without a leader");
     }
 }
+
+/// At the first start nobody knows how many upstreams will register.
+#[test]
+fn one_of_the_strongest_leads_after_the_first_start_of_all() {
+    let strong = 15;
+    let share = |index: u64| if index < strong { 0.5 } else { 0.1 };
+    let shares: Vec<f64> = (0..INSTANCES).map(share).collect();
+    for seed in 0..10 {
+        let vacancy = play_claims(&shares, seed, 3, view(false));
+        let (_, share) = vacancy.leader.expect("one claims");
+        assert!(vacancy.claims <= MAX_CLAIMS, "{} claims", vacancy.claims);
+        assert_eq!(share, 0.5, "seed {seed}");
+    }
+}
--- a/tests/ownership_core/driver.rs
+++ b/tests/ownership_core/driver.rs
@@ -67,8 +67,13 @@
 
 impl Driver {
     pub fn new(name: &str, run: u64) -> Driver {
+        Driver::with_last_key(name, run, LAST_KEY)
+    }
+
+    /// Creates the driver of a service whose greatest key is `last_key`.
+    pub fn with_last_key(name: &str, run: u64, last_key: u64) -> Driver {
         let settings = OwnershipSettings {
-            last_key: LAST_KEY,
+            last_key,
             max_grant_ttl: Duration::from_secs(10),
             first_start: true,
             processor_share: 1.0,
--- a/tests/ownership_core/main.rs
+++ b/tests/ownership_core/main.rs
@@ -5,3 +5,4 @@
 mod grants;
 mod leadership;
 mod restoration;
+mod size;
