Pass changes on in groups, and repeat them instead of reading them from the store

Change: above 24 followers a relay sends to the heads of groups, as many as each has members; they pass on to the others and watch the configuration for them. Every instance keeps the last changes; who missed some asks the relay first and reads the store after 400 ms. Whoever follows a relay does not call the store that turned it away. Reports follow at once when a leader becomes known.

Ruled out: reading the configuration from the relay alone; a suspended relay would delay it (a_configuration_does_not_wait_for_a_suspended_relay stays as it was).

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod limits;
 mod peers;
+mod relaying;
 mod sync;
 
 use crate::fleet::{adapters, events, followers, mirror, relay};
@@ -102,9 +103,13 @@
     /// Live instances, as far as known.
     instances: Cell<usize>,
     relay: RefCell<relay::RelayState>,
+    /// Last changes of the store, which this instance repeats once it is a relay.
+    relay_history: RefCell<relay::ChangeHistory>,
     /// Whether all items of the store have been read.
     listed: Cell<bool>,
     store_contact: RefCell<relay::StoreContact>,
+    /// Since when neither the store nor a relay tells changes.
+    store_lost: Cell<Option<Duration>>,
     /// When the control thread was created.
     started: Duration,
     /// Limits that this instance allocates.
@@ -135,8 +140,10 @@
             peer_socket,
             instances: Cell::new(ASSUMED_INSTANCES),
             relay: RefCell::default(),
+            relay_history: RefCell::default(),
             listed: Cell::new(false),
             store_contact: RefCell::new(relay::StoreContact::new(now)),
+            store_lost: Cell::new(None),
             started: now,
             allocator: RefCell::default(),
         })
--- a/src/fleet/control/announcements.rs
+++ b/src/fleet/control/announcements.rs
@@ -1,7 +1,7 @@
-//! Announcements of ownership records, and the relay of the store's changes.
+//! Announcements of ownership records.
 
 use super::ControlThread;
-use crate::fleet::{followers, peer, relay};
+use crate::fleet::{followers, peer};
 use crate::ownership::{interface, patch, record};
 use crate::store;
 use std::net::SocketAddr;
@@ -50,12 +50,13 @@
             let previous = control.announced.replace(version);
             let followers = control.followers.values_mut();
             let informed = followers.filter(|follower| previous == Some(follower.sent_version));
-            let addresses: Vec<SocketAddr> = informed
+            let mut addresses: Vec<SocketAddr> = informed
                 .map(|follower| {
                     follower.sent_version = version;
                     follower.address
                 })
                 .collect();
+            addresses.sort_unstable();
             let known = previous.unwrap_or_default();
             let frame = control
                 .history
@@ -63,9 +64,7 @@
             (previous, addresses, frame)
         };
         if let (Some(_), Some(frame)) = (previous, frame) {
-            for address in addresses {
-                self.send_frame(address, frame.clone());
-            }
+            self.send_to_groups(&addresses, &frame);
         }
         self.apply_record(service, version, record);
     }
@@ -157,88 +156,6 @@
         self.apply_effect(effect);
     }
 
-    /// Returns the position up to which this instance can relay the store's changes.
-    pub(super) fn relayed_position(&self) -> Option<store::StorePosition> {
-        let fresh = self.store_contact.borrow().is_fresh(self.now());
-        fresh.then(|| self.mirror.borrow().as_of())
-    }
-
-    /// Relays changes after the position `after` to all followers.
-    pub(super) fn relay_changes(&self, after: store::StorePosition, batch: &store::ChangeBatch) {
-        if batch.as_of <= after && batch.changes.is_empty() {
-            return;
-        }
-        self.send_relayed(relay::relayed_changes(after, batch));
-    }
-
-    /// Tells all followers that the changes up to the mirror's position are not relayed.
-    pub(super) fn relay_gap(&self) {
-        let batch = store::ChangeBatch {
-            changes: Vec::new(),
-            as_of: self.mirror.borrow().as_of(),
-        };
-        self.send_relayed(peer::RelayedChanges { after: None, batch });
-    }
-
-    fn send_relayed(&self, relayed: peer::RelayedChanges) {
-        let addresses = self.follower_addresses();
-        if addresses.is_empty() {
-            return;
-        }
-        let content = peer::MessageContent::Changes(relayed);
-        let frame = Bytes::from(self.message("", content).encode());
-        for address in addresses {
-            self.send_frame(address, frame.clone());
-        }
-    }
-
-    /// Returns the addresses of the followers of all services, each once.
-    fn follower_addresses(&self) -> Vec<SocketAddr> {
-        let services = self.services.borrow();
-        let leading = services
-            .values()
-            .filter(|control| control.core.is_leading());
-        let followers = leading.flat_map(|control| control.followers.values());
-        let mut addresses: Vec<_> = followers.map(|follower| follower.address).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
-    }
-
-    /// Applies changes that a relay passed on, unless earlier ones are missing.
-    pub(super) fn apply_relayed_changes(self: &Rc<Self>, relayed: peer::RelayedChanges) {
-        // A leader watches the store itself, including its own record.
-        if self.leads_any() {
-            return;
-        }
-        let now = self.now();
-        let mut relayed = relayed;
-        let known = {
-            let mirror = self.mirror.borrow();
-            relayed.batch.as_of = mirror.resolve(relayed.batch.as_of);
-            relayed.after = relayed.after.map(|after| mirror.resolve(after));
-            mirror.as_of()
-        };
-        if relayed.batch.as_of.era < known.era {
-            return;
-        }
-        let follows = relayed
-            .after
-            .is_some_and(|after| after.era == known.era && after <= known);
-        if !follows {
-            let as_of = relayed.batch.as_of;
-            self.relay.borrow_mut().note_gap(now, as_of);
-            return;
-        }
-        let effect = {
-            let mut mirror = self.mirror.borrow_mut();
-            let effect = mirror.apply_batch(now, relayed.batch);
-            self.relay.borrow_mut().note_known(mirror.as_of());
-            effect
-        };
-        self.apply_effect(effect);
-    }
-
     pub(super) fn send_frame(&self, address: SocketAddr, frame: Bytes) {
         self.count_bytes(frame.len());
         self.peer_connections.send(address, frame);
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -1,7 +1,7 @@
 //! Sending and receiving of peer messages.
 
 use super::ControlThread;
-use crate::fleet::{followers, peer};
+use crate::fleet::{followers, peer, relay};
 use crate::ownership::{interface, load};
 use crate::peer_connections;
 use crate::store;
@@ -62,16 +62,32 @@
         control.is_some_and(|control| control.core.is_leading())
     }
 
-    /// Sends a heartbeat to all followers of a service, encoded once.
+    /// Sends a heartbeat to all followers of a service, encoded once for all that have the
+    /// same role in their group.
     fn send_heartbeats(&self, service: &str) {
-        let Some(content) = self.heartbeat(service, false) else {
-            return;
+        let encode = |role| {
+            let content = self.heartbeat(service, false, role)?;
+            Some(self.message(service, content).encode())
         };
-        let datagram = self.message(service, content).encode();
-        let services = self.services.borrow();
-        let followers = services.get(service).into_iter();
-        for follower in followers.flat_map(|control| control.followers.values()) {
-            self.send_encoded(follower.address, &datagram);
+        let groups = relay::relay_groups(&self.follower_addresses());
+        let (alone, groups): (Vec<_>, Vec<_>) = groups
+            .into_iter()
+            .partition(|group| group.others.is_empty());
+        if let Some(datagram) = encode(relay::GroupRole::Alone) {
+            for group in alone {
+                self.send_encoded(group.head, &datagram);
+            }
+        }
+        let covered = encode(relay::GroupRole::Covered);
+        for relay::RelayGroup { head, others } in groups {
+            for address in &others {
+                covered
+                    .iter()
+                    .for_each(|datagram| self.send_encoded(*address, datagram));
+            }
+            if let Some(datagram) = encode(relay::GroupRole::Head(others)) {
+                self.send_encoded(head, &datagram);
+            }
         }
     }
 
@@ -131,13 +147,19 @@
     }
 
     pub(super) fn send_heartbeat(&self, service: &str, address: SocketAddr, probe: bool) {
-        if let Some(content) = self.heartbeat(service, probe) {
+        let role = relay::first_role(self.follower_addresses().len());
+        if let Some(content) = self.heartbeat(service, probe, role) {
             self.send_datagram(service, address, content);
         }
     }
 
     /// Returns the heartbeat of a service that this instance leads.
-    fn heartbeat(&self, service: &str, probe: bool) -> Option<peer::MessageContent> {
+    fn heartbeat(
+        &self,
+        service: &str,
+        probe: bool,
+        role: relay::GroupRole,
+    ) -> Option<peer::MessageContent> {
         let position = {
             let services = self.services.borrow();
             services.get(service)?.core.leader_position()?
@@ -146,6 +168,7 @@
             position,
             instances: self.instances.get() as u32,
             relayed: self.relayed_position(),
+            role,
             probe,
         })
     }
@@ -236,9 +259,10 @@
                 position,
                 instances,
                 relayed,
+                role,
                 probe,
             } => {
-                self.note_relay(relayed);
+                self.note_relay(relayed, sender, role);
                 let position = self.mirror.borrow().resolve(position);
                 self.handle(&service, interface::OwnershipEvent::Superseded { position });
                 let leading = self.leads(&service);
@@ -262,6 +286,11 @@
                 self.apply_patch(&service, base, version, &patch);
             }
             peer::MessageContent::Changes(relayed) => self.apply_relayed_changes(relayed),
+            peer::MessageContent::Forward { addresses, frame } => {
+                self.forward(&addresses, &frame, sender);
+            }
+            peer::MessageContent::ChangesAsk { after } => self.repeat_changes(after, sender),
+            peer::MessageContent::Items { era, items } => self.apply_items(era, items.into_iter()),
             peer::MessageContent::Members(list) => self.apply_members(&service, list),
             peer::MessageContent::PermitAsk(ask) => {
                 self.answer_ask(&service, &ask, Some(sender));
@@ -279,20 +308,6 @@
         }
     }
 
-    /// Notes the heartbeat of a relay, or of a leader that cannot relay the store's changes.
-    fn note_relay(&self, relayed: Option<store::StorePosition>) {
-        let (known, relayed) = {
-            let mirror = self.mirror.borrow();
-            let relayed = relayed.map(|position| mirror.resolve(position));
-            (mirror.as_of(), relayed)
-        };
-        let mut relay = self.relay.borrow_mut();
-        match relayed.filter(|position| position.era >= known.era) {
-            Some(as_of) => relay.note_heartbeat(self.now(), as_of, known),
-            None => relay.clear(),
-        }
-    }
-
     /// Notes a follower's report; a new follower gets a heartbeat at once.
     pub(super) fn note_follower(self: &Rc<Self>, service: &str, name: &str, sender: SocketAddr) {
         let now = self.now();
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -14,6 +14,9 @@
 /// Longest backoff after a failed call to the store.
 const MAX_STORE_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Longest backoff after a failed watch of the configuration, which the relay tells too.
+const MAX_CONFIG_BACKOFF: Duration = Duration::from_secs(5);
+
 /// Wait time of the watches that check whether a lost store responds again.
 ///
 /// A longer one would only delay the first response of a store that responds again.
@@ -29,6 +32,12 @@
 /// changes arrive, at the more instances.
 const WATCH_PAUSE_PER_UPSTREAM: Duration = Duration::from_millis(1);
 
+/// Pause between two watches while no service has owners yet and upstreams register.
+const FIRST_WATCH_PAUSE: Duration = MAX_WATCH_PAUSE;
+
+/// Time after the start in which that pause applies.
+const FIRST_WATCHES: Duration = Duration::from_secs(4);
+
 /// Pause between two watches of an instance that relays changes to others.
 const RELAY_WATCH_PAUSE: Duration = Duration::from_millis(50);
 
@@ -60,7 +69,6 @@
 impl ControlThread {
     /// Keeps the mirror up to date.
     pub(super) async fn sync_mirror(this: Rc<Self>) {
-        let mut lost_since: Option<Duration> = None;
         let mut backoff = super::MIN_STORE_BACKOFF;
         let mut following_relay = false;
         loop {
@@ -69,8 +77,15 @@
             if std::mem::replace(&mut following_relay, follows_relay) != follows_relay {
                 this.log_relay_change(follows_relay);
             }
-            let wait = match (mode, lost_since) {
-                (relay::SyncMode::Listen, None) => {
+            let wait = match (mode, this.store_lost.get()) {
+                // The relay tells the changes also if the store turns this instance away.
+                (relay::SyncMode::Listen, _) => {
+                    this.note_store_regained();
+                    Timer::after(RELAY_POLL_INTERVAL).await;
+                    continue;
+                }
+                (relay::SyncMode::Ask, _) => {
+                    this.ask_relay();
                     Timer::after(RELAY_POLL_INTERVAL).await;
                     continue;
                 }
@@ -81,17 +96,20 @@
                 (relay::SyncMode::CatchUp, None) => CATCH_UP_WAIT,
                 (_, Some(_)) => LOST_STORE_WAIT,
             };
+            if mode == relay::SyncMode::CatchUp {
+                this.ask_relay();
+            }
             let result = match this.listed.get() {
-                true => this.watch_once(wait, lost_since.is_some()).await,
-                false => this.list_once(lost_since.is_some()).await,
+                true => this.watch_once(wait).await,
+                false => this.list_once().await,
             };
             match result {
                 Ok(()) => {
                     this.store_contact.borrow_mut().note_response(this.now());
                     this.listed.set(true);
                     backoff = super::MIN_STORE_BACKOFF;
-                    if let Some(since) = lost_since.take() {
-                        this.log_store_regained(since);
+                    if mode == relay::SyncMode::Watch {
+                        this.report_to_leaders();
                     }
                     Timer::after(this.watch_pause()).await;
                 }
@@ -99,10 +117,7 @@
                     this.listed.set(false);
                 }
                 Err(error) => {
-                    if lost_since.is_none() {
-                        lost_since = Some(this.now());
-                        this.note_store_lost(&error);
-                    }
+                    this.note_store_lost(&error);
                     Timer::after(backoff.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
                     backoff = (backoff * 2).min(MAX_STORE_BACKOFF);
                 }
@@ -112,12 +127,15 @@
 
     /// Watches the configuration in the store while other changes come from a relay.
     ///
-    /// A configuration is too long to be relayed, and it must be known within less
-    /// time than the replacement of a failed relay takes.
+    /// A configuration may be too long to be relayed, and it must be known within less
+    /// time than the replacement of a failed relay takes. The head of a group passes it
+    /// on to the others.
     pub(super) async fn watch_config(this: Rc<Self>) {
         let mut watched_to = store::StorePosition::default();
+        let mut backoff = MAX_STORE_BACKOFF;
         loop {
-            if this.sync_mode() == relay::SyncMode::Watch {
+            let covered = this.relay.borrow().is_covered(this.now());
+            if covered || this.sync_mode() == relay::SyncMode::Watch {
                 Timer::after(RELAY_POLL_INTERVAL).await;
                 continue;
             }
@@ -126,10 +144,13 @@
             this.count_call(telemetry::StoreCall::WatchConfig, &watched);
             match watched {
                 Ok(batch) => {
+                    backoff = MAX_STORE_BACKOFF;
                     watched_to = watched_to.max(batch.as_of);
                     let changes = batch.changes.into_iter();
                     let items = changes.filter_map(store::StoreChange::into_item);
-                    this.apply_items(batch.as_of.era, items);
+                    let items: Vec<_> = items.collect();
+                    this.pass_on_items(batch.as_of.era, &items);
+                    this.apply_items(batch.as_of.era, items.into_iter());
                     Timer::after(MIN_WATCH_PAUSE).await;
                 }
                 Err(store::StoreError::Restored(era)) => {
@@ -138,7 +159,8 @@
                 }
                 Err(error) => {
                     log::debug!("configuration not watched: {error}; the watch is retried");
-                    Timer::after(MAX_STORE_BACKOFF).await;
+                    Timer::after(backoff).await;
+                    backoff = (backoff * 2).min(MAX_CONFIG_BACKOFF);
                 }
             }
         }
@@ -194,11 +216,25 @@
         services.values().any(|control| control.core.is_leading())
     }
 
+    /// Reports to the leaders that became known, so that they become this instance's relays.
+    fn report_to_leaders(self: &Rc<Self>) {
+        for name in self.service_names() {
+            if !self.leads(&name) {
+                self.report_service(&name);
+            }
+        }
+    }
+
     fn watch_pause(&self) -> Duration {
-        match self.leads_any() {
-            true => RELAY_WATCH_PAUSE,
+        if self.leads_any() {
+            return RELAY_WATCH_PAUSE;
+        }
+        let mirror = self.mirror.borrow();
+        let starting = self.now() < self.started + FIRST_WATCHES;
+        match starting && !mirror.has_records() {
+            true => FIRST_WATCH_PAUSE,
             false => {
-                let upstreams = self.mirror.borrow().directory.iter().count();
+                let upstreams = mirror.directory.iter().count();
                 let pause = WATCH_PAUSE_PER_UPSTREAM * upstreams as u32;
                 pause.clamp(MIN_WATCH_PAUSE, MAX_WATCH_PAUSE)
             }
@@ -206,6 +242,10 @@
     }
 
     pub(super) fn note_store_lost(&self, error: &store::StoreError) {
+        if self.store_lost.get().is_some() {
+            return;
+        }
+        self.store_lost.set(Some(self.now()));
         self.store_contact.borrow_mut().note_lost();
         self.context.log.emit(&events::StoreLost {
             error: error.to_string(),
@@ -213,26 +253,29 @@
         });
     }
 
-    pub(super) fn log_store_regained(&self, since: Duration) {
+    /// Notes that the store, or a relay to which it responds, tells changes again.
+    ///
+    /// To be called before they are applied, since entries may have expired meanwhile.
+    pub(super) fn note_store_regained(&self) {
+        let Some(since) = self.store_lost.take() else {
+            return;
+        };
         let now = self.now();
+        let mut mirror = self.mirror.borrow_mut();
+        mirror.directory.note_store_regained(now);
         self.context.log.emit(&events::StoreRegained {
             after_ms: now.saturating_sub(since).as_millis() as u64,
-            as_of: self.mirror.borrow().as_of().revision,
+            as_of: mirror.as_of().revision,
         });
     }
 
-    pub(super) async fn list_once(self: &Rc<Self>, lost: bool) -> Result<(), store::StoreError> {
+    pub(super) async fn list_once(self: &Rc<Self>) -> Result<(), store::StoreError> {
         let listed = self.store.list().await;
         self.count_call(telemetry::StoreCall::List, &listed);
         let listing = listed?;
         let now = self.now();
-        let effect = {
-            let mut mirror = self.mirror.borrow_mut();
-            if lost {
-                mirror.directory.note_store_regained(now);
-            }
-            mirror.apply_listing(now, listing)
-        };
+        self.note_store_regained();
+        let effect = self.mirror.borrow_mut().apply_listing(now, listing);
         self.apply_effect(effect);
         self.relay_gap();
         Ok(())
@@ -241,21 +284,15 @@
     pub(super) async fn watch_once(
         self: &Rc<Self>,
         wait: Duration,
-        lost: bool,
     ) -> Result<(), store::StoreError> {
         let after = self.mirror.borrow().as_of();
         let watched = self.store.watch(after, wait).await;
         self.count_call(telemetry::StoreCall::Watch, &watched);
         let batch = watched?;
         let now = self.now();
+        self.note_store_regained();
         self.relay_changes(after, &batch);
-        let effect = {
-            let mut mirror = self.mirror.borrow_mut();
-            if lost {
-                mirror.directory.note_store_regained(now);
-            }
-            mirror.apply_batch(now, batch)
-        };
+        let effect = self.mirror.borrow_mut().apply_batch(now, batch);
         self.apply_effect(effect);
         Ok(())
     }
--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -134,6 +134,11 @@
         known.map(|known| known.version).unwrap_or_default()
     }
 
+    /// Returns whether any service has or had owners.
+    pub fn has_records(&self) -> bool {
+        !self.records.is_empty()
+    }
+
     pub fn has_leader(&self, service: &str) -> bool {
         self.leaders.contains_key(&leader_key(service))
     }
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -8,13 +8,16 @@
 
 mod wire;
 
+use crate::fleet::relay;
 use crate::ids;
 use crate::limits::{allocator, members};
 use crate::ownership::{load, patch, record};
 use crate::store;
 use prost::Message;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use thiserror::Error;
+use tokio_util::bytes::Bytes;
 
 /// Longest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -61,6 +64,8 @@
         instances: u32,
         /// Position up to which the sender relays the store's changes, if it is a relay.
         relayed: Option<store::StorePosition>,
+        /// What the receiver does for its group of the relay's followers.
+        role: relay::GroupRole,
         /// Whether the receiver must confirm with a report that it does not lead.
         probe: bool,
     },
@@ -78,6 +83,20 @@
     },
     /// Changes of the store, passed on by a relay.
     Changes(RelayedChanges),
+    /// Encoded message of a relay, to be handled and passed on.
+    Forward {
+        addresses: Vec<SocketAddr>,
+        frame: Bytes,
+    },
+    /// Asks a relay to repeat the changes after a position.
+    ChangesAsk {
+        after: store::StorePosition,
+    },
+    /// Items of the store that an instance read for the others of its group.
+    Items {
+        era: store::Era,
+        items: Vec<store::StoredItem>,
+    },
     /// Instances among which the service's leader divides the limits.
     Members(Arc<members::MemberList>),
     /// Request for permits, to the allocator of a limit.
@@ -87,6 +106,21 @@
     LimitNotice(allocator::LimitNotice),
 }
 
+impl MessageContent {
+    /// Returns whether followers pass the message on to each other.
+    ///
+    /// A message that asks to pass another one on is none of them, so that nothing travels
+    /// further than one step.
+    pub fn may_be_forwarded(&self) -> bool {
+        matches!(
+            self,
+            MessageContent::Changes(_)
+                | MessageContent::Patch { .. }
+                | MessageContent::Record { .. }
+        )
+    }
+}
+
 /// Changes of the store since a position, without ownership records.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RelayedChanges {
@@ -107,7 +141,7 @@
     #[error("announced patch is dropped: {0}")]
     Patch(#[from] patch::PatchError),
     #[error("list of instances is not a list of addresses; run one version on all instances")]
-    Members,
+    Addresses,
 }
 
 impl PeerMessage {
--- a/src/fleet/peer/wire.rs
+++ b/src/fleet/peer/wire.rs
@@ -1,7 +1,9 @@
 //! Protobuf encoding of the messages between instances.
 
+mod addresses;
 mod limits;
 
+use crate::fleet::relay;
 use crate::ids;
 use crate::ownership::{load, patch, record};
 use crate::store;
@@ -16,7 +18,10 @@
     run: u64,
     #[prost(string, tag = "3")]
     name: String,
-    #[prost(oneof = "WireContent", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "WireContent",
+        tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     content: Option<WireContent>,
 }
 
@@ -40,6 +45,12 @@
     PermitAnswer(limits::WireAnswer),
     #[prost(message, tag = "12")]
     LimitNotice(limits::WireNotice),
+    #[prost(message, tag = "13")]
+    Forward(WireForward),
+    #[prost(message, tag = "14")]
+    ChangesAsk(WireVersion),
+    #[prost(message, tag = "15")]
+    Items(WireItems),
 }
 
 /// Buckets with their counts, and owners with their latencies, are parallel lists.
@@ -121,6 +132,38 @@
     /// Era of `relayed`.
     #[prost(uint64, tag = "6")]
     relayed_era: u64,
+    /// Whether another instance reads the configuration for the receiver.
+    #[prost(bool, tag = "7")]
+    covered: bool,
+    /// Instances for which the receiver does.
+    #[prost(message, optional, tag = "8")]
+    group: Option<addresses::WireAddresses>,
+}
+
+impl WireHeartbeat {
+    fn role(&self) -> Result<relay::GroupRole, super::MessageError> {
+        Ok(match &self.group {
+            Some(group) => relay::GroupRole::Head(group.clone().try_into()?),
+            None if self.covered => relay::GroupRole::Covered,
+            None => relay::GroupRole::Alone,
+        })
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireForward {
+    #[prost(message, optional, tag = "1")]
+    addresses: Option<addresses::WireAddresses>,
+    #[prost(bytes = "bytes", tag = "2")]
+    frame: Bytes,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireItems {
+    #[prost(uint64, tag = "1")]
+    era: u64,
+    #[prost(message, repeated, tag = "2")]
+    items: Vec<WireChange>,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -276,6 +319,7 @@
                 position,
                 instances,
                 relayed,
+                role,
                 probe,
             } => WireContent::Heartbeat(WireHeartbeat {
                 revision: position.revision,
@@ -284,6 +328,11 @@
                 probe: *probe,
                 era: position.era,
                 relayed_era: relayed.unwrap_or_default().era,
+                covered: *role == relay::GroupRole::Covered,
+                group: match role {
+                    relay::GroupRole::Head(others) => Some((&others[..]).into()),
+                    relay::GroupRole::Alone | relay::GroupRole::Covered => None,
+                },
             }),
             super::MessageContent::Record { version, record } => WireContent::Record(WireRecord {
                 version: Some((*version).into()),
@@ -299,6 +348,28 @@
                 value: patch.encode(),
             }),
             super::MessageContent::Changes(relayed) => WireContent::Changes(relayed.into()),
+            super::MessageContent::Forward { addresses, frame } => {
+                WireContent::Forward(WireForward {
+                    addresses: Some((&addresses[..]).into()),
+                    frame: frame.clone(),
+                })
+            }
+            super::MessageContent::ChangesAsk { after } => WireContent::ChangesAsk(WireVersion {
+                revision: after.revision,
+                sequence: 0,
+                era: after.era,
+            }),
+            super::MessageContent::Items { era, items } => {
+                let item = |item: &store::StoredItem| WireChange {
+                    key: item.key.clone(),
+                    revision: item.revision,
+                    value: Some(item.value.clone()),
+                };
+                WireContent::Items(WireItems {
+                    era: *era,
+                    items: items.iter().map(item).collect(),
+                })
+            }
             super::MessageContent::Members(list) => WireContent::Members((&**list).into()),
             super::MessageContent::PermitAsk(ask) => WireContent::PermitAsk(ask.into()),
             super::MessageContent::PermitAnswer(answer) => WireContent::PermitAnswer(answer.into()),
@@ -326,6 +397,7 @@
                 load: report.into(),
             },
             WireContent::Heartbeat(heartbeat) => super::MessageContent::Heartbeat {
+                role: heartbeat.role()?,
                 position: store::StorePosition {
                     era: heartbeat.era,
                     revision: heartbeat.revision,
@@ -347,6 +419,20 @@
                 patch: Box::new(patch::RecordPatch::decode(&wire.value)?),
             },
             WireContent::Changes(changes) => super::MessageContent::Changes(changes.into()),
+            WireContent::Forward(forward) => super::MessageContent::Forward {
+                addresses: forward.addresses.unwrap_or_default().try_into()?,
+                frame: forward.frame,
+            },
+            WireContent::ChangesAsk(version) => super::MessageContent::ChangesAsk {
+                after: store::AnnouncedVersion::from(version).position,
+            },
+            WireContent::Items(wire) => {
+                let changes = wire.items.into_iter().map(store::StoreChange::from);
+                super::MessageContent::Items {
+                    era: wire.era,
+                    items: changes.filter_map(store::StoreChange::into_item).collect(),
+                }
+            }
             WireContent::Members(list) => {
                 super::MessageContent::Members(Arc::new(list.try_into()?))
             }
--- a/src/fleet/peer/wire/limits.rs
+++ b/src/fleet/peer/wire/limits.rs
@@ -1,18 +1,11 @@
 //! Protobuf encoding of the messages about limits that upstreams state.
 
 use crate::fleet::peer;
+use crate::fleet::peer::wire::addresses;
 use crate::ids;
 use crate::limits::{self, allocator, members};
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
 
-/// Bytes of an IPv4 address and a port.
-const V4_BYTES: usize = 6;
-
-/// Bytes of an IPv6 address and a port.
-const V6_BYTES: usize = 18;
-
-/// Bytes per address are the same in the whole list.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(in crate::fleet::peer) struct WireMembers {
     #[prost(message, optional, tag = "1")]
@@ -80,24 +73,12 @@
 
 impl From<&members::MemberList> for WireMembers {
     fn from(list: &members::MemberList) -> WireMembers {
-        let mut wire = WireMembers {
+        let addresses = addresses::WireAddresses::from(&list.addresses[..]);
+        WireMembers {
             version: Some(list.version.into()),
-            ..WireMembers::default()
-        };
-        for address in &list.addresses {
-            let bytes = match address.ip() {
-                IpAddr::V4(ip) => {
-                    wire.v4.extend_from_slice(&ip.octets());
-                    &mut wire.v4
-                }
-                IpAddr::V6(ip) => {
-                    wire.v6.extend_from_slice(&ip.octets());
-                    &mut wire.v6
-                }
-            };
-            bytes.extend_from_slice(&address.port().to_be_bytes());
+            v4: addresses.v4,
+            v6: addresses.v6,
         }
-        wire
     }
 }
 
@@ -105,24 +86,13 @@
     type Error = peer::MessageError;
 
     fn try_from(wire: WireMembers) -> Result<members::MemberList, peer::MessageError> {
-        let (v4, v4_rest) = wire.v4.as_chunks::<V4_BYTES>();
-        let (v6, v6_rest) = wire.v6.as_chunks::<V6_BYTES>();
-        if !v4_rest.is_empty() || !v6_rest.is_empty() {
-            return Err(peer::MessageError::Members);
-        }
-        let v4 = v4.iter().map(|[a, b, c, d, port @ ..]| {
-            let ip = Ipv4Addr::new(*a, *b, *c, *d);
-            SocketAddr::new(ip.into(), u16::from_be_bytes(*port))
-        });
-        let v6 = v6.iter().map(|bytes| {
-            let (ip, port) = bytes.split_at(V6_BYTES - 2);
-            let ip: [u8; 16] = ip.try_into().expect("an IPv6 address has 16 bytes");
-            let port = u16::from_be_bytes([port[0], port[1]]);
-            SocketAddr::new(Ipv6Addr::from(ip).into(), port)
-        });
+        let addresses = addresses::WireAddresses {
+            v4: wire.v4,
+            v6: wire.v6,
+        };
         Ok(members::MemberList {
             version: wire.version.unwrap_or_default().into(),
-            addresses: v4.chain(v6).collect(),
+            addresses: addresses.try_into()?,
         })
     }
 }
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -3,7 +3,9 @@
 use godwitloom::fleet::adapters::{DecodedItem, DeletedKey, StoreSchema};
 use godwitloom::fleet::mirror::{StoreMirror, record_key};
 use godwitloom::fleet::peer::{MessageContent, PeerMessage, RelayedChanges};
-use godwitloom::fleet::relay::{RelayState, StoreContact, SyncMode, relayed_changes};
+use godwitloom::fleet::relay::{
+    ChangeHistory, GroupRole, RelayState, StoreContact, SyncMode, relay_groups, relayed_changes,
+};
 use godwitloom::ownership::patch::RecordPatch;
 use godwitloom::ownership::record::{
     FormerOwner, FormerOwners, InstanceInfo, OwnerInfo, OwnershipRecord, RangeAssignment,
@@ -381,3 +383,146 @@
     let later = START + Duration::from_millis(400);
     assert_eq!(relay.sync_mode(later, at(9)), SyncMode::CatchUp);
 }
+
+fn addresses(count: u16) -> Vec<SocketAddr> {
+    let address = |index: u16| SocketAddr::from(([10, 0, (index / 200) as u8, 1], 7000 + index));
+    (0..count).map(address).collect()
+}
+
+/// Messages that one instance sends for one change may not grow with the fleet, beyond its
+/// square root.
+#[test]
+fn a_relay_of_hundreds_sends_to_few_and_each_follower_is_in_one_group() {
+    for count in [0, 1, 24, 25, 195, 670] {
+        let all = addresses(count);
+        let groups = relay_groups(&all);
+        let mut reached: Vec<SocketAddr> = Vec::new();
+        for group in &groups {
+            reached.push(group.head);
+            reached.extend(&group.others);
+            assert!(
+                group.others.len() <= 30,
+                "{} in a group",
+                group.others.len()
+            );
+        }
+        reached.sort_unstable();
+        assert_eq!(reached, all);
+        assert!(groups.len() <= 30, "{} groups of {count}", groups.len());
+    }
+}
+
+#[test]
+fn a_follower_asks_its_relay_before_it_reads_missed_changes_from_the_store() {
+    let mut relay = RelayState::default();
+    let address = addresses(1)[0];
+    relay.note_heartbeat(START, at(7), at(5));
+    relay.note_relay(address, GroupRole::Alone);
+    let later = START + Duration::from_millis(400);
+    relay.note_heartbeat(later, at(7), at(5));
+    assert_eq!(relay.sync_mode(later, at(5)), SyncMode::Ask);
+    assert_eq!(relay.next_ask(later), Some(address));
+    assert_eq!(relay.next_ask(later), None, "one ask for each wait");
+    let unanswered = START + Duration::from_millis(800);
+    assert_eq!(relay.sync_mode(unanswered, at(5)), SyncMode::CatchUp);
+    relay.note_known(at(7));
+    assert_eq!(relay.sync_mode(unanswered, at(7)), SyncMode::Listen);
+    relay.note_lost(unanswered, at(9));
+    assert_eq!(relay.sync_mode(unanswered, at(7)), SyncMode::Ask);
+    relay.note_gap(unanswered, at(10));
+    assert_eq!(
+        relay.sync_mode(unanswered, at(7)),
+        SyncMode::CatchUp,
+        "the relay does not have the changes"
+    );
+}
+
+/// A change that is overdue stays overdue while newer ones are announced.
+#[test]
+fn a_follower_that_lags_behind_steady_changes_reads_them_from_the_store() {
+    let mut relay = RelayState::default();
+    relay.note_relay(addresses(1)[0], GroupRole::Alone);
+    for round in 0..4 {
+        let now = START + Duration::from_millis(300 * round);
+        relay.note_heartbeat(now, at(7 + round), at(5));
+    }
+    let now = START + Duration::from_millis(1000);
+    assert_eq!(relay.sync_mode(now, at(5)), SyncMode::CatchUp);
+}
+
+#[test]
+fn a_relay_repeats_what_it_has_and_nothing_with_gaps() {
+    let batch = |revision| ChangeBatch {
+        changes: vec![change("servers/a", 100, revision)],
+        as_of: at(revision),
+    };
+    let mut history = ChangeHistory::default();
+    history.add(at(5), &batch(6));
+    history.add(at(6), &batch(8));
+    let repeated = history.since(at(6)).expect("all are kept");
+    assert_eq!((repeated.after, repeated.batch), (Some(at(6)), batch(8)));
+    assert!(
+        history.since(at(4)).is_none(),
+        "earlier changes are missing"
+    );
+    assert!(history.since(at(8)).is_none(), "nothing is missing");
+    history.add(at(10), &batch(11));
+    assert!(
+        history.since(at(6)).is_none(),
+        "changes after 8 are missing"
+    );
+    assert!(history.since(at(10)).is_some());
+    history.clear();
+    assert!(history.since(at(10)).is_none());
+}
+
+#[test]
+fn messages_of_groups_survive_encoding() {
+    let message = |content| PeerMessage {
+        service: String::new(),
+        run: ids::InstanceKey(5),
+        name: "gw-0".to_owned(),
+        content,
+    };
+    let heartbeat = |role| MessageContent::Heartbeat {
+        position: at(5),
+        instances: 195,
+        relayed: Some(at(6)),
+        role,
+        probe: false,
+    };
+    let frame = Bytes::from(message(heartbeat(GroupRole::Alone)).encode());
+    let contents = [
+        heartbeat(GroupRole::Covered),
+        heartbeat(GroupRole::Head(addresses(13))),
+        MessageContent::ChangesAsk { after: at(6) },
+        MessageContent::Forward {
+            addresses: addresses(3),
+            frame,
+        },
+        MessageContent::Items {
+            era: 1,
+            items: vec![StoredItem {
+                key: "config".to_owned(),
+                value: Bytes::from_static(b"routes"),
+                revision: 6,
+            }],
+        },
+    ];
+    for content in contents {
+        let message = message(content);
+        let decoded = PeerMessage::decode(&message.encode()).expect("encoded");
+        assert_eq!(decoded, message);
+    }
+}
+
+/// A message that asks to pass on another of its kind would travel without end.
+#[test]
+fn only_changes_and_records_are_passed_on() {
+    let forward = MessageContent::Forward {
+        addresses: addresses(1),
+        frame: Bytes::new(),
+    };
+    assert!(!forward.may_be_forwarded());
+    assert!(!MessageContent::ChangesAsk { after: at(1) }.may_be_forwarded());
+}
