Move load among hundreds of owners by what is no chance, and only what can be granted at once

A second's count of six requests for each of 280 owners is chance: an owner had to have twice its share to be seen. A key hotter than any fair share fitted no move. An owner that got nothing any more counted as slow for good.

Ruled out: hot keys alone (late requests grew after the last one), the leader's term (it held), lost releases (granted within 20 ms once the predecessor's grants had expired).

Change: the load of a bucket is its steady count over 6 s, unless the recent one or that of its block differs by more than chance; buckets are a quarter as wide. Parts move to the owners of adjacent ranges, which they join, cold pieces return to their neighbours, whole ranges move without a split; splits are for owners of twice their share. Steady moves of one rebalancing carry 0.4% of the load at most. Load moves only ranges whose release is proof at once.

--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -347,11 +347,16 @@
             let (candidates, view) = {
                 let mirror = self.mirror.borrow();
                 let known = mirror.directory.iter();
-                let known = known.filter(|known| *known.entry.service == *name);
-                let candidates = known.map(candidates::OwnerCandidate::from).collect();
-                (candidates, mirror.store_view(&name))
+                let (own, others): (Vec<_>, Vec<_>) =
+                    known.partition(|known| *known.entry.service == *name);
+                let candidates = own.into_iter().map(candidates::OwnerCandidate::from);
+                let occupied = others.into_iter().map(candidates::OccupiedAddress::from);
+                let table = candidates::CandidateTable::new(candidates.collect());
+                (
+                    table.with_occupied(occupied.collect()),
+                    mirror.store_view(&name),
+                )
             };
-            let candidates = candidates::CandidateTable::new(candidates);
             self.handle(
                 &name,
                 interface::OwnershipEvent::CandidatesUpdated(candidates),
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 
 use crate::event_log;
 use crate::fleet::events;
-use crate::gateway::{caller, context, exchange, pools, progress, response, view};
+use crate::gateway::{caller, context, exchange, pools, progress, response, retry_delay, view};
 use crate::limits;
 use crate::notices;
 use crate::outcome;
@@ -26,14 +26,8 @@
 /// Attempts after which a request is not retried even if the last one certainly did not run it.
 const MAX_UNRUN_ATTEMPTS: usize = 4;
 
-/// Base of `Retry-After` in a refusal; jitter adds up to as much again.
-const BASE_RETRY_AFTER: Duration = Duration::from_millis(100);
-
-/// `Retry-After` of a request whose key has no owner.
-const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Largest share of a request's remaining time that `Retry-After` may take.
-const MAX_RETRY_AFTER_SHARE: f64 = 0.25;
+/// `Retry-After` of a request without a route.
+const UNROUTED_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Log event of a request that needed more than one attempt or failed.
 #[derive(Debug, Serialize)]
@@ -96,7 +90,7 @@
                     request.arrived.elapsed(),
                 );
                 self.context.metrics.record_refusal("", reason.as_str());
-                return response::CallerResponse::refusal(reason, Some(BASE_RETRY_AFTER));
+                return response::CallerResponse::refusal(reason, Some(UNROUTED_RETRY_AFTER));
             }
         };
         let mut progress = progress::AttemptProgress::default();
@@ -107,8 +101,14 @@
                 (forwarded, None)
             }
             Err(reason) => {
-                let turn = progress.caller_turn;
-                let delay = (reason.status() == 503).then(|| retry_after(&routed, reason, turn));
+                let refused = retry_delay::RefusedRequest {
+                    reason,
+                    objective: routed.rule.latency_objective,
+                    left: routed.deadline.saturating_duration_since(Instant::now()),
+                    turn: progress.caller_turn,
+                };
+                let delay = (reason.status() == 503)
+                    .then(|| retry_delay::retry_delay(&refused, fastrand::f64()));
                 (
                     response::CallerResponse::refusal(reason, delay),
                     Some(reason),
@@ -477,24 +477,3 @@
         _ => response::RefusalReason::LostResponse,
     }
 }
-
-/// Returns the `Retry-After` of a refusal; `turn` is the caller's at an upstream that a
-/// limit or a pause closes.
-fn retry_after(
-    routed: &RoutedRequest<'_>,
-    reason: response::RefusalReason,
-    turn: Option<progress::CallerTurn>,
-) -> Duration {
-    let left = routed.deadline.saturating_duration_since(Instant::now());
-    let max = left.mul_f64(MAX_RETRY_AFTER_SHARE);
-    let jittered = BASE_RETRY_AFTER + BASE_RETRY_AFTER.mul_f64(fastrand::f64());
-    let delay = match (reason, turn) {
-        (response::RefusalReason::NoOwner, _) => NO_OWNER_RETRY_AFTER.min(max),
-        (
-            response::RefusalReason::RateLimited | response::RefusalReason::UpstreamPaused,
-            Some(turn),
-        ) => turn.delay(max),
-        _ => jittered.min(max),
-    };
-    delay.max(Duration::from_millis(10))
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,5 +22,6 @@
 pub mod progress;
 mod reservation;
 pub mod response;
+pub mod retry_delay;
 pub mod thread;
 pub mod view;
--- a/src/ownership/candidates.rs
+++ b/src/ownership/candidates.rs
@@ -4,6 +4,7 @@
 use crate::ids;
 use crate::ownership::record;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Share of its capacity that an upstream has while it warms up.
@@ -47,15 +48,42 @@
     }
 }
 
+/// Address of a registered upstream of another service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OccupiedAddress {
+    pub address: SocketAddr,
+    /// Start of the upstream, in Unix milliseconds.
+    pub started_ms: u64,
+}
+
+impl From<&directory::KnownUpstream> for OccupiedAddress {
+    fn from(known: &directory::KnownUpstream) -> OccupiedAddress {
+        OccupiedAddress {
+            address: known.entry.address,
+            started_ms: known.entry.started_ms,
+        }
+    }
+}
+
 /// All registered upstreams of one service.
 #[derive(Clone, Debug, Default)]
 pub struct CandidateTable {
     candidates: Vec<OwnerCandidate>,
+    /// Addresses of the upstreams of other services.
+    occupied: Vec<OccupiedAddress>,
 }
 
 impl CandidateTable {
     pub fn new(candidates: Vec<OwnerCandidate>) -> CandidateTable {
-        CandidateTable { candidates }
+        CandidateTable {
+            candidates,
+            occupied: Vec::new(),
+        }
+    }
+
+    /// Returns the table with the addresses of the upstreams of other services.
+    pub fn with_occupied(self, occupied: Vec<OccupiedAddress>) -> CandidateTable {
+        CandidateTable { occupied, ..self }
     }
 
     /// Returns whether two tables contain the same runs of upstreams.
@@ -92,15 +120,20 @@
             .filter(|candidate| !candidate.draining)
     }
 
-    /// Returns whether a later run of the upstream is registered at another address.
+    /// Returns whether a later upstream shows that the run in `info` has certainly ended, and
+    /// that nothing answers for it at its address.
     ///
-    /// The run in `info` then has certainly ended, and nothing answers at its address.
-    /// A later run at the same address may have accepted grants meant for this one,
-    /// so it must release them first.
-    pub fn is_replaced_elsewhere(&self, info: &record::OwnerInfo) -> bool {
+    /// That is a later run of the same upstream at another address, or an upstream of another
+    /// service at this one. A later run at the same address may have accepted grants meant
+    /// for this one, so it must release them first.
+    pub fn is_replaced(&self, info: &record::OwnerInfo) -> bool {
         let runs = self.candidates.iter().map(|candidate| &candidate.info);
         let mut later_runs =
             runs.filter(|other| other.id == info.id && other.started_ms > info.started_ms);
+        let is_occupied = |other: &OccupiedAddress| {
+            other.address == info.address && other.started_ms > info.started_ms
+        };
         later_runs.any(|other| other.address != info.address)
+            || self.occupied.iter().any(is_occupied)
     }
 }
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -208,8 +208,8 @@
                 self.planned_at = Duration::ZERO;
             }
             interface::OwnershipEvent::LoadReported(report) => {
-                self.load.add(&report.counts);
-                self.latency.add(&report.latencies);
+                self.load.add(now, &report.counts);
+                self.latency.add(now, &report.latencies);
             }
             interface::OwnershipEvent::LimitsUpdated(limits) => self.limits = limits,
             interface::OwnershipEvent::LeaseOpened { sent, lease } => {
@@ -341,6 +341,8 @@
         self.claim_at = Some(now + CLAIM_BACKOFF);
         self.assignments.clear();
         self.dirty_since = None;
+        // Nothing is reported to an instance that does not lead.
+        self.load = load::LoadMap::new(self.settings.last_key);
     }
 
     fn advance(&mut self, now: Duration, actions: &mut Vec<interface::OwnershipAction>) {
--- a/src/ownership/core/calls.rs
+++ b/src/ownership/core/calls.rs
@@ -140,7 +140,7 @@
                 }
                 let key = release.owner.key;
                 let info = self.owners.iter().find(|info| info.key == key);
-                let replaced = info.is_some_and(|info| self.candidates.is_replaced_elsewhere(info));
+                let replaced = info.is_some_and(|info| self.candidates.is_replaced(info));
                 if replaced || release.is_cleared(now, predecessors_expire_at, ttl) {
                     release.status = assignment::ReleaseStatus::Ended;
                     self.decisions
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -16,7 +16,7 @@
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Time after a move for which a range is not merged with an adjacent one.
-const MERGE_DELAY: Duration = Duration::from_secs(3);
+const MERGE_DELAY: Duration = Duration::from_millis(1500);
 
 /// Time after which acknowledged grants are stored if nothing else is written.
 ///
@@ -243,11 +243,11 @@
         candidates.exclude(|key| self.suspects.contains_key(&key));
         let capacities = candidates.usable().map(|candidate| {
             let key = candidate.info.key;
-            let latency = self.latency.latency(key).as_secs_f32();
+            let latency = self.latency.latency(now, key).as_secs_f32();
             let count_time = load::LoadMap::mean_count_time();
             let capacity = rebalancing::OwnerCapacity {
                 key,
-                capacity: candidate.capacity(now) / self.latency.slowness(key),
+                capacity: candidate.capacity(now) / self.latency.slowness(now, key),
                 use_per_count: latency / count_time.as_secs_f32() / candidate.slots.max(1) as f32,
                 is_limited: false,
             };
@@ -260,9 +260,18 @@
         let mut moves = Vec::new();
         let predecessors_expire_at = self.predecessors_expire_at();
         let first_fence = self.first_fence();
+        let owners = &self.owners;
+        // Nothing answers for such an owner, whoever still renews its grant.
+        let is_replaced = |owner: ids::UpstreamKey| {
+            let info = owners.iter().find(|info| info.key == owner);
+            self.candidates.get(owner).is_none()
+                && info.is_some_and(|info| self.candidates.is_replaced(info))
+        };
         let movable = |assignment: &&assignment::AssignmentState| {
             !assignment.is_busy()
-                && (predecessors_expire_at.is_some() || assignment.is_fenced(first_fence))
+                && (predecessors_expire_at.is_some()
+                    || assignment.is_fenced(first_fence)
+                    || is_replaced(assignment.owner))
         };
         for assignment in assignments.iter().filter(movable) {
             let predecessors_expire_at = match assignment.is_fenced(first_fence) {
@@ -294,7 +303,14 @@
         }
         if moves.is_empty() && now >= self.rebalanced_at + rebalancing::REBALANCE_INTERVAL {
             self.rebalanced_at = now;
-            let movable: Vec<_> = assignments.iter().filter(movable).cloned().collect();
+            // The former owner's release must be proof enough, or the keys of a move that only
+            // spares an owner load would have none until a predecessor's grants expire.
+            let expired = predecessors_expire_at.is_some_and(|expire_at| now >= expire_at);
+            let movable: Vec<_> = assignments
+                .iter()
+                .filter(|assignment| expired || assignment.is_fenced(first_fence))
+                .cloned()
+                .collect();
             let chosen = rebalancing::rebalance(now, &movable, &mut loads, &self.load);
             moves.extend(chosen.into_iter().map(|range_move| (range_move, "load")));
         }
--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -6,18 +6,34 @@
 use std::time::Duration;
 
 /// Buckets into which the key space is divided to count requests.
-pub const BUCKETS: usize = 16_384;
+pub const BUCKETS: usize = 65_536;
 
-/// Time after which a count has decayed to `1/e`.
+/// Time after which a recent count has decayed to `1/e`.
 ///
 /// It is short because a key stays hot for some seconds only.
 const DECAY_TIME: Duration = Duration::from_millis(900);
 
+/// Time after which a steady count has decayed to `1/e`.
+const STEADY_DECAY_TIME: Duration = Duration::from_millis(6000);
+
+/// Least time between two estimates of the loads, which take time for all buckets.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Standard deviations by which a recent count must differ from the steady one to be more
+/// than chance.
+const MIN_DEVIATIONS: f32 = 2.5;
+
+/// Adjacent buckets that are also compared together, since hot keys lie close together.
+const BLOCK_BUCKETS: usize = 64;
+
 /// Least and greatest factor by which an owner counts as slower than the mean.
 const SLOWNESS_BOUNDS: (f32, f32) = (0.6, 2.2);
 
 /// Responses after which the older average weighs half.
-const LATENCY_HALF_LIFE: f32 = 40.0;
+const LATENCY_HALF_LIFE: f32 = 20.0;
+
+/// Time without a response after which an owner's average weighs `1/e`.
+const LATENCY_DECAY_TIME: Duration = Duration::from_secs(3);
 
 /// What an instance reports to the leader.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -54,41 +70,64 @@
     pub sum_ms: u32,
 }
 
+/// Moving average of one owner's latency.
+#[derive(Clone, Copy, Debug)]
+struct LatencyAverage {
+    ms: f32,
+    reported_at: Duration,
+}
+
 /// Moving averages of the owners' latencies.
+///
+/// An owner that gets no requests any more, since it was slow, would count as slow for
+/// good. Its average therefore approaches that of all owners.
 #[derive(Clone, Debug, Default)]
 pub struct LatencyTable {
-    /// Milliseconds.
-    averages: BTreeMap<ids::UpstreamKey, f32>,
+    averages: BTreeMap<ids::UpstreamKey, LatencyAverage>,
 }
 
 impl LatencyTable {
-    /// Adds latencies that an instance reports.
-    pub fn add(&mut self, latencies: &[OwnerLatency]) {
+    /// Adds latencies that an instance reports at `now`.
+    pub fn add(&mut self, now: Duration, latencies: &[OwnerLatency]) {
         for sample in latencies.iter().filter(|sample| sample.responses > 0) {
             let responses = sample.responses as f32;
             let mean = sample.sum_ms as f32 / responses;
-            let average = self.averages.entry(sample.owner).or_insert(mean);
-            *average += (mean - *average) * responses / (responses + LATENCY_HALF_LIFE);
+            let new = LatencyAverage {
+                ms: mean,
+                reported_at: now,
+            };
+            let average = self.averages.entry(sample.owner).or_insert(new);
+            average.ms += (mean - average.ms) * responses / (responses + LATENCY_HALF_LIFE);
+            average.reported_at = now;
         }
     }
 
+    /// Returns an owner's average, or that of all if it is unknown.
+    fn average_ms(&self, now: Duration, owner: ids::UpstreamKey) -> f32 {
+        let overall_mean = self.mean_ms();
+        let Some(average) = self.averages.get(&owner) else {
+            return overall_mean;
+        };
+        let age = now.saturating_sub(average.reported_at);
+        let weight = (-age.as_secs_f32() / LATENCY_DECAY_TIME.as_secs_f32()).exp();
+        overall_mean + (average.ms - overall_mean) * weight
+    }
+
     /// Returns the factor by which an owner is slower than the mean, within bounds.
     ///
     /// It is 1 for an owner whose latency is unknown.
-    pub fn slowness(&self, owner: ids::UpstreamKey) -> f32 {
+    pub fn slowness(&self, now: Duration, owner: ids::UpstreamKey) -> f32 {
         let overall_mean = self.mean_ms();
         let (least, most) = SLOWNESS_BOUNDS;
-        match self.averages.get(&owner) {
-            Some(average) if overall_mean > 0.0 => (average / overall_mean).clamp(least, most),
-            _ => 1.0,
+        match overall_mean > 0.0 {
+            true => (self.average_ms(now, owner) / overall_mean).clamp(least, most),
+            false => 1.0,
         }
     }
 
     /// Returns an owner's latency, or the mean of all owners if it is unknown.
-    pub fn latency(&self, owner: ids::UpstreamKey) -> Duration {
-        let overall_mean = self.mean_ms();
-        let average = self.averages.get(&owner).copied().unwrap_or(overall_mean);
-        Duration::from_secs_f32(average.max(0.0) / 1000.0)
+    pub fn latency(&self, now: Duration, owner: ids::UpstreamKey) -> Duration {
+        Duration::from_secs_f32(self.average_ms(now, owner).max(0.0) / 1000.0)
     }
 
     /// Returns the mean latency of all owners; zero if none is known.
@@ -98,7 +137,11 @@
 
     fn mean_ms(&self) -> f32 {
         let count = self.averages.len().max(1) as f32;
-        self.averages.values().sum::<f32>() / count
+        self.averages
+            .values()
+            .map(|average| average.ms)
+            .sum::<f32>()
+            / count
     }
 
     /// Removes all other owners than those to keep.
@@ -114,6 +157,13 @@
     pub count: u32,
 }
 
+/// End of a range.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RangeEnd {
+    First,
+    Last,
+}
+
 /// Returns the bucket of a key in a space whose greatest key is `last`.
 pub fn bucket_of(key: u64, last: u64) -> usize {
     let scaled = u128::from(key) * BUCKETS as u128;
@@ -128,16 +178,59 @@
     first.min(u128::from(last)) as u64
 }
 
-/// Decaying request counts of all buckets.
+/// Counts of all buckets that decay with time.
+#[derive(Clone, Debug)]
+struct DecayingCounts {
+    counts: Vec<f32>,
+    decay_time: Duration,
+    /// Time for which requests are counted, less than `decay_time` after the start.
+    counted: f32,
+}
+
+impl DecayingCounts {
+    fn new(decay_time: Duration) -> DecayingCounts {
+        DecayingCounts {
+            counts: vec![0.0; BUCKETS],
+            decay_time,
+            counted: 0.0,
+        }
+    }
+
+    fn add(&mut self, counts: &[BucketCount]) {
+        for count in counts {
+            if let Some(total) = self.counts.get_mut(count.bucket as usize) {
+                *total += count.count as f32;
+            }
+        }
+    }
+
+    fn decay(&mut self, elapsed: Duration) {
+        let decay_time = self.decay_time.as_secs_f32();
+        let factor = (-elapsed.as_secs_f32() / decay_time).exp();
+        for count in &mut self.counts {
+            *count *= factor;
+        }
+        self.counted = self.counted * factor + decay_time * (1.0 - factor);
+    }
+}
+
+/// Load of all buckets, as requests within [`LoadMap::mean_count_time`].
 ///
-/// The load of a range is the sum of its buckets' counts.
+/// The pattern: among hundreds of owners each gets a few requests a second, so that a count
+/// over a second is chance, while keys are hot for a few seconds only. A bucket's load is
+/// therefore its steady count, unless the recent one, or that of its block, differs by more
+/// than chance.
 #[derive(Clone, Debug)]
 pub struct LoadMap {
     /// Greatest key of the key space.
     last: u64,
-    /// Decayed number of requests of each bucket.
-    counts: Vec<f32>,
-    decayed_at: Duration,
+    recent: DecayingCounts,
+    steady: DecayingCounts,
+    loads: Vec<f32>,
+    /// Variance of each bucket's load, which is that of the counts it is taken from.
+    variances: Vec<f32>,
+    /// When the counts were last decayed; `None` before the first one.
+    decayed_at: Option<Duration>,
 }
 
 impl LoadMap {
@@ -145,18 +238,19 @@
     pub fn new(last: u64) -> LoadMap {
         LoadMap {
             last,
-            counts: vec![0.0; BUCKETS],
-            decayed_at: Duration::ZERO,
+            recent: DecayingCounts::new(DECAY_TIME),
+            steady: DecayingCounts::new(STEADY_DECAY_TIME),
+            loads: vec![0.0; BUCKETS],
+            variances: vec![0.0; BUCKETS],
+            decayed_at: None,
         }
     }
 
-    /// Adds counts that an instance reports.
-    pub fn add(&mut self, counts: &[BucketCount]) {
-        for count in counts {
-            if let Some(total) = self.counts.get_mut(count.bucket as usize) {
-                *total += count.count as f32;
-            }
-        }
+    /// Adds counts that an instance reports at `now`.
+    pub fn add(&mut self, now: Duration, counts: &[BucketCount]) {
+        self.decayed_at.get_or_insert(now);
+        self.recent.add(counts);
+        self.steady.add(counts);
     }
 
     /// Returns the mean time for which a request is counted.
@@ -164,13 +258,36 @@
         DECAY_TIME
     }
 
-    /// Decays the counts by the time since the last call.
+    /// Decays the counts by the time since then and estimates the loads anew, if it is due.
     pub fn decay(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.decayed_at);
-        self.decayed_at = now;
-        let factor = (-elapsed.as_secs_f32() / DECAY_TIME.as_secs_f32()).exp();
-        for count in &mut self.counts {
-            *count *= factor;
+        let since = self.decayed_at.unwrap_or(now);
+        let elapsed = now.saturating_sub(since);
+        if elapsed < ESTIMATE_INTERVAL {
+            return;
+        }
+        self.decayed_at = Some(now);
+        self.recent.decay(elapsed);
+        self.steady.decay(elapsed);
+        // Before requests were counted for longer, the steady count is the recent one.
+        let count_time = DECAY_TIME.as_secs_f32();
+        let scale = count_time / self.steady.counted.max(count_time);
+        let differs = |recent: f32, steady: f32| {
+            (recent - steady).abs() > MIN_DEVIATIONS * (steady + 1.0).sqrt()
+        };
+        for first in (0..BUCKETS).step_by(BLOCK_BUCKETS) {
+            let block = first..first + BLOCK_BUCKETS;
+            let recent: f32 = self.recent.counts[block.clone()].iter().sum();
+            let steady: f32 = self.steady.counts[block.clone()].iter().sum();
+            let block_differs = differs(recent, steady * scale);
+            for bucket in block {
+                let recent = self.recent.counts[bucket];
+                let steady = self.steady.counts[bucket] * scale;
+                (self.loads[bucket], self.variances[bucket]) =
+                    match block_differs || differs(recent, steady) {
+                        true => (recent, recent),
+                        false => (steady, steady * scale),
+                    };
+            }
         }
     }
 
@@ -181,7 +298,12 @@
 
     /// Returns the load of a range.
     pub fn load(&self, range: &range::KeyRange) -> f32 {
-        self.counts[self.buckets(range)].iter().sum()
+        self.loads[self.buckets(range)].iter().sum()
+    }
+
+    /// Returns the variance of the load of a range.
+    pub fn variance(&self, range: &range::KeyRange) -> f32 {
+        self.variances[self.buckets(range)].iter().sum()
     }
 
     /// Returns the number of buckets in a range.
@@ -191,7 +313,7 @@
 
     /// Returns the load of the whole key space.
     pub fn total(&self) -> f32 {
-        self.counts.iter().sum()
+        self.loads.iter().sum()
     }
 
     /// Returns the narrowest part of `range` with a load between `min_load` and `max_load`.
@@ -209,13 +331,13 @@
         let mut from = start;
         let mut sum = 0.0;
         for to in start..=end {
-            sum += self.counts[to];
+            sum += self.loads[to];
             while sum > max_load && from < to {
-                sum -= self.counts[from];
+                sum -= self.loads[from];
                 from += 1;
             }
-            while from < to && sum - self.counts[from] >= min_load {
-                sum -= self.counts[from];
+            while from < to && sum - self.loads[from] >= min_load {
+                sum -= self.loads[from];
                 from += 1;
             }
             let fits = sum >= min_load && sum <= max_load;
@@ -232,6 +354,65 @@
         (first <= last).then_some(range::KeyRange { first, last })
     }
 
+    /// Returns the bucket of `range` that has the least load above `min_load`, and its load.
+    pub fn find_hot_bucket(
+        &self,
+        range: &range::KeyRange,
+        min_load: f32,
+    ) -> Option<(range::KeyRange, f32)> {
+        let hot = self
+            .buckets(range)
+            .filter(|bucket| self.loads[*bucket] > min_load);
+        let bucket = hot.min_by(|one, other| self.loads[*one].total_cmp(&self.loads[*other]))?;
+        let last = match bucket + 1 < BUCKETS {
+            true => (first_key(bucket + 1, self.last) - 1).min(range.last),
+            false => range.last,
+        };
+        let first = first_key(bucket, self.last).max(range.first);
+        (first <= last).then_some((range::KeyRange { first, last }, self.loads[bucket]))
+    }
+
+    /// Returns the part at one end of `range` with a load between `min_load` and `max_load`.
+    ///
+    /// It is the whole range if that has no more load.
+    pub fn find_end_part(
+        &self,
+        range: &range::KeyRange,
+        end: RangeEnd,
+        min_load: f32,
+        max_load: f32,
+    ) -> Option<range::KeyRange> {
+        let buckets = self.buckets(range);
+        let (start, stop) = (*buckets.start(), *buckets.end());
+        let mut sum = 0.0;
+        for step in 0..=stop - start {
+            let bucket = match end {
+                RangeEnd::First => start + step,
+                RangeEnd::Last => stop - step,
+            };
+            sum += self.loads[bucket];
+            if sum > max_load {
+                return None;
+            }
+            if sum < min_load {
+                continue;
+            }
+            let part = match end {
+                RangeEnd::First if bucket < stop => range::KeyRange {
+                    first: range.first,
+                    last: first_key(bucket + 1, self.last) - 1,
+                },
+                RangeEnd::Last if bucket > start => range::KeyRange {
+                    first: first_key(bucket, self.last),
+                    last: range.last,
+                },
+                RangeEnd::First | RangeEnd::Last => *range,
+            };
+            return Some(part);
+        }
+        None
+    }
+
     /// Divides a range into at most `count` parts of about equal load.
     pub fn divide(&self, range: &range::KeyRange, count: usize) -> Vec<range::KeyRange> {
         let share = self.load(range) / count.max(1) as f32;
@@ -239,7 +420,7 @@
         let mut first = range.first;
         let mut sum = 0.0;
         for bucket in self.buckets(range) {
-            sum += self.counts[bucket];
+            sum += self.loads[bucket];
             let next = first_key((bucket + 1).min(BUCKETS - 1), self.last);
             let is_inside = next > first && next <= range.last;
             if parts.len() + 1 < count && share > 0.0 && sum >= share && is_inside {
--- a/src/ownership/rebalancing.rs
+++ b/src/ownership/rebalancing.rs
@@ -8,7 +8,7 @@
 use crate::limits;
 use crate::ownership::{assignment, load};
 use crate::range;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Interval of rebalancing.
@@ -17,16 +17,49 @@
 /// Time after a move for which a range is not moved for its load.
 const MOVE_COOLDOWN: Duration = Duration::from_millis(900);
 
-/// Most moves of one rebalancing.
+/// Most moves of one rebalancing, and upstreams for each more that is allowed.
 const MAX_MOVES: usize = 12;
+const UPSTREAMS_PER_MOVE: usize = 10;
+
+/// Share of the service's load that one rebalancing moves between owners of which none has
+/// twice its fair share.
+///
+/// Requests for moved keys wait until the former owner has ended what it runs for them.
+const MAX_STEADY_SHARE: f32 = 0.004;
+
+/// Time after a move for which a range is not moved to join another one.
+const JOIN_COOLDOWN: Duration = Duration::from_secs(2);
+
+/// Most ranges that one rebalancing moves to join others, and upstreams for each more.
+const MAX_JOINS: usize = 6;
+const UPSTREAMS_PER_JOIN: usize = 20;
+
+/// Share of the mean load of an upstream up to which a range is moved to join another one.
+const MAX_JOIN_SHARE: f32 = 0.35;
 
 /// Ratio of an owner's load to its fair share above which it counts as overloaded.
 const OVERLOAD_RATIO: f32 = 1.35;
 
+/// Ratio of an owner's load to its fair share above which a part is split off for the least
+/// loaded owner; below, an adjacent owner takes it.
+const SPLIT_RATIO: f32 = 2.0;
+
+/// Share of its fair share that the least loaded owner lacks if it is to get a part from any
+/// overloaded one.
+const IDLE_SHARE: f32 = 0.6;
+
+/// [`OVERLOAD_RATIO`] of an owner that has more requests than slots.
+///
+/// Its queue grows for as long as it gets more than its share.
+const QUEUEING_RATIO: f32 = 1.1;
+
+/// Standard deviations that suffice for such an owner.
+const QUEUEING_DEVIATIONS: f32 = 1.0;
+
 /// Share of an owner's slots or limit in use up to which it does not count as overloaded.
 const MIN_USE: f32 = 0.6;
 
-/// Standard deviations by which a load must exceed the fair share.
+/// Least standard deviations by which a load must exceed the fair share.
 ///
 /// A smaller excess may be chance.
 const MIN_DEVIATIONS: f32 = 2.5;
@@ -46,12 +79,17 @@
 /// service's load, and yet all that a slow one can take.
 const MIN_MOVE_SHARE: f32 = 0.13;
 
-/// Ranges for each upstream beyond which no range moves for its load, as a fraction.
+/// Ranges for each upstream beyond which no part is split off for its load.
+///
+/// The pattern: each key that is hot for a while is split off and leaves pieces behind.
+/// Every range is renewed by itself, so that many of them would lengthen the grants, and
+/// with them the time until a lost owner is replaced.
+const MAX_RANGES: usize = 2;
+
+/// Ranges for each upstream beyond which no part moves to an adjacent owner, as a fraction.
 ///
-/// The pattern: chance makes some of hundreds of owners look overloaded at every moment, and
-/// each move splits a range. Every range is renewed by itself, so that many of them would
-/// lengthen the grants, and with them the time until a lost owner is replaced.
-const MAX_RANGES: (usize, usize) = (3, 2);
+/// The part joins its neighbour only some seconds later, and hot keys need the rest.
+const MAX_UNJOINED_RANGES: (usize, usize) = (7, 4);
 
 /// Ranges that may exist in any case.
 const MIN_MAX_RANGES: usize = 120;
@@ -104,6 +142,8 @@
 #[derive(Clone, Copy, Debug)]
 struct OwnerLoad {
     load: f32,
+    /// Variance of the load as it is measured.
+    variance: f32,
     capacity: f32,
     use_per_count: f32,
     is_limited: bool,
@@ -114,6 +154,21 @@
     fn relative_load(&self) -> f32 {
         self.load / self.capacity
     }
+
+    /// Returns whether the owner has more than its fair share, by more than chance, and uses
+    /// much of its slots or limit.
+    fn is_overloaded(&self, fair_share: f32, deviations: f32) -> bool {
+        let used = self.load * self.use_per_count;
+        let (ratio, deviations) = match self.is_limited {
+            // What exceeds a limit is refused, while other owners only become slower.
+            true => (OVERLOAD_RATIO, MIN_LIMITED_DEVIATIONS),
+            false if used > 1.0 => (QUEUEING_RATIO, QUEUEING_DEVIATIONS),
+            false => (OVERLOAD_RATIO, deviations),
+        };
+        let variance = fair_share.max(1.0) * self.variance / self.load.max(1.0);
+        let threshold = (fair_share * ratio).max(fair_share + deviations * variance.sqrt());
+        self.load > threshold && used > MIN_USE
+    }
 }
 
 /// Loads of the upstreams to which ranges may be assigned.
@@ -131,6 +186,7 @@
     ) -> OwnerLoads {
         let entry = |owner: OwnerCapacity| OwnerLoad {
             load: 0.0,
+            variance: 0.0,
             capacity: owner.capacity,
             use_per_count: owner.use_per_count,
             is_limited: owner.is_limited,
@@ -143,6 +199,7 @@
             if let Some(entry) = entries.get_mut(&assignment.owner) {
                 let size_load = load_per_bucket * load.width(&assignment.range);
                 entry.load += load.load(&assignment.range) + size_load;
+                entry.variance += load.variance(&assignment.range);
                 entry.range_count += 1;
             }
         }
@@ -162,6 +219,19 @@
         load / self.entries.len().max(1) as f32
     }
 
+    /// Returns whether the least loaded upstream lacks most of its fair share.
+    fn is_any_idle(&self) -> bool {
+        let mean = self.mean_relative_load();
+        let least = self.least_loaded().map(|key| self.entries[&key]);
+        least.is_some_and(|least| least.relative_load() < mean * (1.0 - IDLE_SHARE))
+    }
+
+    /// Returns the deviation of the greatest of all loads that is still chance.
+    fn chance_deviations(&self) -> f32 {
+        let greatest = (2.0 * (self.entries.len().max(1) as f32).ln()).sqrt();
+        greatest.max(MIN_DEVIATIONS)
+    }
+
     /// Returns the upstream with the least load relative to its capacity.
     pub fn least_loaded(&self) -> Option<ids::UpstreamKey> {
         let entries = self.entries.iter();
@@ -220,7 +290,9 @@
     owner: ids::UpstreamKey,
 }
 
-/// Chooses moves that take load off overloaded owners.
+/// Chooses moves that take load off overloaded owners, or that reduce the ranges.
+///
+/// `assignments` are in the order of the key space.
 pub fn rebalance(
     now: Duration,
     assignments: &[assignment::AssignmentState],
@@ -228,10 +300,16 @@
     load: &load::LoadMap,
 ) -> Vec<RangeMove> {
     let mut moves: Vec<RangeMove> = Vec::new();
-    let max_ranges = (loads.entries.len() * MAX_RANGES.0 / MAX_RANGES.1).max(MIN_MAX_RANGES);
-    if load.total() < MIN_TOTAL_LOAD || assignments.len() >= max_ranges {
+    if load.total() < MIN_TOTAL_LOAD {
         return moves;
     }
+    let upstreams = loads.entries.len();
+    let max_ranges = (upstreams * MAX_RANGES).max(MIN_MAX_RANGES);
+    let max_unjoined = upstreams * MAX_UNJOINED_RANGES.0 / MAX_UNJOINED_RANGES.1;
+    let split_ratio = match upstreams > MIN_MAX_RANGES {
+        true => SPLIT_RATIO,
+        false => OVERLOAD_RATIO,
+    };
     let movable = assignments.iter().filter(|assignment| {
         assignment.is_settled()
             && !assignment.is_busy()
@@ -243,16 +321,40 @@
             owner: assignment.owner,
         })
         .collect();
-    while moves.len() < MAX_MOVES {
-        let Some((from, chosen)) = choose_move(&parts, loads, load) else {
-            break;
-        };
+    let max_moves = MAX_MOVES.max(upstreams / UPSTREAMS_PER_MOVE);
+    let max_steady_load = load.total() * MAX_STEADY_SHARE;
+    let mut steady_load = 0.0;
+    while moves.len() < max_moves {
+        let may_split = assignments.len() + 2 * moves.len() < max_ranges;
+        let mut chosen = None;
+        if may_split {
+            chosen = choose_move(&parts, loads, load, split_ratio);
+        }
+        let is_steady = chosen.is_none();
+        if is_steady && upstreams > MIN_MAX_RANGES && steady_load < max_steady_load {
+            if may_split && loads.is_any_idle() {
+                chosen = choose_move(&parts, loads, load, OVERLOAD_RATIO);
+            }
+            chosen = chosen.or_else(|| choose_whole_move(&parts, loads, load));
+            if chosen.is_none() && assignments.len() + moves.len() < max_unjoined {
+                chosen = choose_end_move(&parts, assignments, loads, load);
+            }
+        }
+        let Some((from, chosen)) = chosen else { break };
         let amount = load.load(&chosen.range);
+        if is_steady {
+            steady_load += amount;
+        }
         loads.add(from, -amount);
         loads.add(chosen.to, amount);
         split_off(&mut parts, &chosen.range);
         moves.push(chosen);
     }
+    if assignments.len() > upstreams.max(MIN_MAX_RANGES) {
+        let parts = parts.iter().map(|part| part.range);
+        let unmoved: BTreeSet<_> = parts.map(|range| (range.first, range.last)).collect();
+        moves.extend(choose_joins(now, assignments, &unmoved, loads, load));
+    }
     moves
 }
 
@@ -286,26 +388,23 @@
     parts: &[MovablePart],
     loads: &OwnerLoads,
     load: &load::LoadMap,
+    split_ratio: f32,
 ) -> Option<(ids::UpstreamKey, RangeMove)> {
     let mean = loads.mean_relative_load();
     let to = loads.least_loaded()?;
     let target = loads.entries[&to];
     let room = mean * target.capacity - target.load;
     let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
+    let deviations = loads.chance_deviations();
     for from in loads.by_descending_load() {
         let source = loads.entries[&from];
         let fair_share = mean * source.capacity;
-        // What exceeds a limit is refused, while other owners only become slower.
-        let deviations = match source.is_limited {
-            true => MIN_LIMITED_DEVIATIONS,
-            false => MIN_DEVIATIONS,
-        };
-        let deviation = deviations * fair_share.max(1.0).sqrt();
-        let overloaded = source.load > (fair_share * OVERLOAD_RATIO).max(fair_share + deviation)
-            && source.load * source.use_per_count > MIN_USE;
         // An upstream without ranges, which has just joined, gets its share even if no
         // owner is overloaded.
         let joins = target.range_count == 0;
+        let overloaded = source.is_overloaded(fair_share, deviations)
+            && (source.load > fair_share * split_ratio
+                || room > mean * target.capacity * IDLE_SHARE);
         if from == to || !(overloaded || joins) {
             continue;
         }
@@ -318,15 +417,166 @@
         if amount < min_amount {
             continue;
         }
-        let (min_load, max_load) = (amount * 0.6, amount * 1.25);
+        let (min_load, max_load) = move_bounds(amount);
         let part = parts
             .iter()
             .filter(|part| part.owner == from)
             .filter_map(|part| load.find_part(&part.range, min_load, max_load))
             .min_by_key(|part| part.last - part.first);
-        if let Some(range) = part {
+        // A key may be too hot for any fair share, and yet better off on its own.
+        let hot = || {
+            let least = source.load - target.load - min_amount;
+            let parts = parts.iter().filter(|part| part.owner == from);
+            let hot = parts.filter_map(|part| load.find_hot_bucket(&part.range, max_load));
+            let better = hot.filter(|(_, amount)| *amount < least);
+            let lightest = better.min_by(|one, other| one.1.total_cmp(&other.1));
+            lightest.map(|(range, _)| range)
+        };
+        if let Some(range) = part.or_else(hot) {
             return Some((from, RangeMove { range, to }));
         }
     }
     None
 }
+
+/// Chooses the next move of a whole range, and returns it with the present owner.
+fn choose_whole_move(
+    parts: &[MovablePart],
+    loads: &OwnerLoads,
+    load: &load::LoadMap,
+) -> Option<(ids::UpstreamKey, RangeMove)> {
+    let mean = loads.mean_relative_load();
+    let to = loads.least_loaded()?;
+    let target = loads.entries[&to];
+    let room = mean * target.capacity - target.load;
+    let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
+    let deviations = loads.chance_deviations();
+    for from in loads.by_descending_load() {
+        let source = loads.entries[&from];
+        let fair_share = mean * source.capacity;
+        let amount = (source.load - fair_share).min(room);
+        if from == to || amount < min_amount || !source.is_overloaded(fair_share, deviations) {
+            continue;
+        }
+        let (min_load, max_load) = move_bounds(amount);
+        let fits = |part: &&MovablePart| {
+            (min_load..=max_load).contains(&load.load(&part.range)) && part.owner == from
+        };
+        if let Some(part) = parts.iter().find(fits) {
+            let range = part.range;
+            return Some((from, RangeMove { range, to }));
+        }
+    }
+    None
+}
+
+/// Returns the bounds of the load of a part that is to carry about `amount`.
+fn move_bounds(amount: f32) -> (f32, f32) {
+    (amount * 0.6, amount * 1.25)
+}
+
+/// Chooses the next move to the owner of an adjacent range, which the moved part joins, and
+/// returns it with the present owner.
+fn choose_end_move(
+    parts: &[MovablePart],
+    assignments: &[assignment::AssignmentState],
+    loads: &OwnerLoads,
+    load: &load::LoadMap,
+) -> Option<(ids::UpstreamKey, RangeMove)> {
+    let mean = loads.mean_relative_load();
+    let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
+    let deviations = loads.chance_deviations();
+    for from in loads.by_descending_load() {
+        let source = loads.entries[&from];
+        let fair_share = mean * source.capacity;
+        if !source.is_overloaded(fair_share, deviations) {
+            continue;
+        }
+        let mut best: Option<(f32, RangeMove)> = None;
+        for part in parts.iter().filter(|part| part.owner == from) {
+            for end in [load::RangeEnd::First, load::RangeEnd::Last] {
+                let Some(to) = neighbour(assignments, &part.range, end) else {
+                    continue;
+                };
+                let Some(target) = loads.entries.get(&to).filter(|_| to != from) else {
+                    continue;
+                };
+                let room = mean * target.capacity - target.load;
+                let amount = (source.load - fair_share).min(room);
+                if amount < min_amount || best.is_some_and(|(most, _)| most >= amount) {
+                    continue;
+                }
+                let (min_load, max_load) = move_bounds(amount);
+                let range = load.find_end_part(&part.range, end, min_load, max_load);
+                best = range.map_or(best, |range| Some((amount, RangeMove { range, to })));
+            }
+        }
+        if let Some((_, chosen)) = best {
+            return Some((from, chosen));
+        }
+    }
+    None
+}
+
+/// Returns the owner of the range next to one end of a range.
+fn neighbour(
+    assignments: &[assignment::AssignmentState],
+    range: &range::KeyRange,
+    end: load::RangeEnd,
+) -> Option<ids::UpstreamKey> {
+    let key = match end {
+        load::RangeEnd::First => range.first.checked_sub(1)?,
+        load::RangeEnd::Last => range.last.checked_add(1)?,
+    };
+    let index = assignments.partition_point(|assignment| assignment.range.last < key);
+    let found = assignments.get(index)?;
+    (found.range.first <= key).then_some(found.owner)
+}
+
+/// Chooses ranges of little load that move to the owner of an adjacent one and join it.
+fn choose_joins(
+    now: Duration,
+    assignments: &[assignment::AssignmentState],
+    unmoved: &BTreeSet<(u64, u64)>,
+    loads: &mut OwnerLoads,
+    load: &load::LoadMap,
+) -> Vec<RangeMove> {
+    let max_joins = MAX_JOINS.max(loads.entries.len() / UPSTREAMS_PER_JOIN);
+    let mean = loads.mean_relative_load();
+    let max_load = loads.mean_load() * MAX_JOIN_SHARE;
+    let mean_width = load::BUCKETS as f32 / loads.entries.len().max(1) as f32;
+    let mut moves: Vec<RangeMove> = Vec::new();
+    let mut owners: Vec<ids::UpstreamKey> = Vec::new();
+    for piece in assignments {
+        let (amount, range) = (load.load(&piece.range), piece.range);
+        let rests = unmoved.contains(&(range.first, range.last));
+        let several = loads.entries.get(&piece.owner);
+        if !rests
+            || now < piece.assigned_at + JOIN_COOLDOWN
+            || several.is_none_or(|owner| owner.range_count < 2)
+            || amount > max_load
+            || load.width(&range) > mean_width
+            || owners.contains(&piece.owner)
+        {
+            continue;
+        }
+        let ends = [load::RangeEnd::First, load::RangeEnd::Last];
+        let neighbours = ends
+            .into_iter()
+            .filter_map(|end| neighbour(assignments, &range, end));
+        let to = neighbours.filter(|to| *to != piece.owner).find(|to| {
+            let target = loads.entries.get(to);
+            let has_room = |target: &OwnerLoad| target.load + amount <= mean * target.capacity;
+            !owners.contains(to) && target.is_some_and(has_room)
+        });
+        let Some(to) = to else { continue };
+        loads.add(piece.owner, -amount);
+        loads.add(to, amount);
+        owners.extend([piece.owner, to]);
+        moves.push(RangeMove { range, to });
+        if moves.len() == max_joins {
+            break;
+        }
+    }
+    moves
+}
--- a/tests/ownership_core/grants.rs
+++ b/tests/ownership_core/grants.rs
@@ -1,6 +1,8 @@
 //! Grants, releases and moves of ranges.
 
-use super::driver::{Driver, LAST_KEY, TICK, candidate, candidates, record_of_other_leader};
+use super::driver::{
+    Driver, LAST_KEY, TICK, candidate, candidates, instance, record_of_other_leader,
+};
 use godwitloom::ownership::interface::{GrantCommand, OwnershipEvent, ReleaseResult};
 use godwitloom::ownership::{candidates, load, record};
 use std::time::Duration;
@@ -268,3 +270,44 @@
     assert_eq!(decoded, record);
     assert!(record::OwnershipRecord::decode(b"\xff\xff").is_err());
 }
+
+/// Regression test: a range that was on its way to its owner when the leader was lost keeps its
+/// fencing token. When load moved it once more, its keys had no owner until every grant of the
+/// lost leader had expired.
+#[test]
+fn load_does_not_move_keys_that_could_not_be_granted_at_once() {
+    let gone = candidate(2, false).info;
+    let mut record = record_of_other_leader(false);
+    record.owners.push(gone.clone());
+    record.assignments[0]
+        .former_owners
+        .push(record::FormerOwner {
+            key: gone.key,
+            fence: 1,
+        });
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(Some(record));
+    let occupied = candidates::OccupiedAddress {
+        address: gone.address,
+        started_ms: gone.started_ms + 1,
+    };
+    let table = candidates(&[]).with_occupied(vec![occupied]);
+    driver.feed(OwnershipEvent::CandidatesUpdated(table));
+    driver.run(TICK * 10);
+    assert!(
+        driver.grants.iter().any(|grant| grant.range.first == 0),
+        "the former owner has certainly ended"
+    );
+    // Its grants may still be valid for more than the three seconds of the hot key.
+    driver.feed(OwnershipEvent::InstanceSeen {
+        name: "gw-1".to_owned(),
+        run: instance("gw-1", 2).run,
+        leading: false,
+    });
+    driver.commits.clear();
+    report_hot_key(&mut driver, 5);
+    let records = driver.commits.iter().map(|commit| &commit.record);
+    let mut assignments = records.flat_map(|record| &record.assignments);
+    let moved = assignments.find(|assignment| !assignment.former_owners.is_empty());
+    assert_eq!(moved, None, "its keys have no owner for seconds");
+}
--- a/tests/ownership_core/leadership.rs
+++ b/tests/ownership_core/leadership.rs
@@ -231,3 +231,42 @@
     driver.run(TICK);
     assert!(!driver.core.is_leading());
 }
+
+/// The owner of the first range has ended, and another service's upstream has its address.
+///
+/// The pattern: a leader is lost together with upstreams whose addresses are given away, so
+/// that its successor cannot tell whether the lost leader still renews their grants.
+fn keys_of_a_replaced_owner_move(started_ms: u64) -> bool {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.grants_respond = false;
+    driver.releases_end = false;
+    driver.lead(Some(record_of_other_leader(false)));
+    let occupied = candidates::OccupiedAddress {
+        address: candidate(0, false).info.address,
+        started_ms,
+    };
+    let only = candidates::CandidateTable::new(vec![candidate(1, false)]);
+    let table = only.with_occupied(vec![occupied]);
+    driver.feed(OwnershipEvent::CandidatesUpdated(table));
+    driver.run(Duration::from_secs(1));
+    assert!(
+        !driver.last_record().predecessors.is_empty(),
+        "the lost leader is not proven to have stopped"
+    );
+    let new_owner = candidate(1, false).info.key;
+    let mut grants = driver.grants.iter();
+    grants.any(|grant| grant.range.first < 32 && grant.owner.key == new_owner)
+}
+
+#[test]
+fn keys_of_a_replaced_owner_move_before_the_predecessor_is_known_to_have_stopped() {
+    let started_ms = candidate(0, false).info.started_ms;
+    assert!(
+        keys_of_a_replaced_owner_move(started_ms + 1),
+        "nothing answers at the address for the former owner"
+    );
+    assert!(
+        !keys_of_a_replaced_owner_move(started_ms - 1),
+        "an earlier upstream at the address proves nothing"
+    );
+}
--- a/tests/ownership_core/main.rs
+++ b/tests/ownership_core/main.rs
@@ -6,3 +6,4 @@
 mod leadership;
 mod restoration;
 mod size;
+mod worst_load;
