Rebalance less often among many owners, and leave the hottest key where it is

Change: once in 2.5 ms for each range, not in a leader's first 2 s, up to one and a half ranges an upstream as before; one rebalancing moves 1.5% of the load between owners of which none has twice its share, and none where all have queues. A key with more than half of its owner's load stays.

Tests: the_hottest_key_of_an_owner_stays failed before.

--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -9,6 +9,11 @@
 /// Time for which the set of upstreams must not change before the initial assignment.
 const INITIAL_SETTLE_TIME: Duration = Duration::from_millis(700);
 
+/// Time for which a new leader measures the load before it moves any.
+///
+/// Until its followers know it, they watch the store, and each write costs a call of each.
+const LOAD_SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Time for which no ranges move to an upstream that could not be reached.
 const SUSPECT_TIME: Duration = Duration::from_secs(4);
 
@@ -301,7 +306,13 @@
                 );
             }
         }
-        if moves.is_empty() && now >= self.rebalanced_at + rebalancing::REBALANCE_INTERVAL {
+        let begun = match &self.state {
+            leadership::LeadershipState::Leading(term) => term.begun,
+            _ => now,
+        };
+        let interval = rebalancing::rebalance_interval(assignments.len());
+        let rebalance_at = (self.rebalanced_at + interval).max(begun + LOAD_SETTLE_TIME);
+        if moves.is_empty() && now >= rebalance_at {
             self.rebalanced_at = now;
             // The former owner's release must be proof enough, or the keys of a move that only
             // spares an owner load would have none until a predecessor's grants expire.
--- a/src/ownership/load.rs
+++ b/src/ownership/load.rs
@@ -84,6 +84,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LatencyTable {
     averages: BTreeMap<ids::UpstreamKey, LatencyAverage>,
+    /// Mean of the averages; 0 without any.
+    mean_ms: f32,
 }
 
 impl LatencyTable {
@@ -100,27 +102,31 @@
             average.ms += (mean - average.ms) * responses / (responses + LATENCY_HALF_LIFE);
             average.reported_at = now;
         }
+        self.update_mean();
+    }
+
+    fn update_mean(&mut self) {
+        let sum: f32 = self.averages.values().map(|average| average.ms).sum();
+        self.mean_ms = sum / self.averages.len().max(1) as f32;
     }
 
     /// Returns an owner's average, or that of all if it is unknown.
     fn average_ms(&self, now: Duration, owner: ids::UpstreamKey) -> f32 {
-        let overall_mean = self.mean_ms();
         let Some(average) = self.averages.get(&owner) else {
-            return overall_mean;
+            return self.mean_ms;
         };
         let age = now.saturating_sub(average.reported_at);
         let weight = (-age.as_secs_f32() / LATENCY_DECAY_TIME.as_secs_f32()).exp();
-        overall_mean + (average.ms - overall_mean) * weight
+        self.mean_ms + (average.ms - self.mean_ms) * weight
     }
 
     /// Returns the factor by which an owner is slower than the mean, within bounds.
     ///
     /// It is 1 for an owner whose latency is unknown.
     pub fn slowness(&self, now: Duration, owner: ids::UpstreamKey) -> f32 {
-        let overall_mean = self.mean_ms();
         let (least, most) = SLOWNESS_BOUNDS;
-        match overall_mean > 0.0 {
-            true => (self.average_ms(now, owner) / overall_mean).clamp(least, most),
+        match self.mean_ms > 0.0 {
+            true => (self.average_ms(now, owner) / self.mean_ms).clamp(least, most),
             false => 1.0,
         }
     }
@@ -132,21 +138,13 @@
 
     /// Returns the mean latency of all owners; zero if none is known.
     pub fn mean(&self) -> Duration {
-        Duration::from_secs_f32(self.mean_ms().max(0.0) / 1000.0)
-    }
-
-    fn mean_ms(&self) -> f32 {
-        let count = self.averages.len().max(1) as f32;
-        self.averages
-            .values()
-            .map(|average| average.ms)
-            .sum::<f32>()
-            / count
+        Duration::from_secs_f32(self.mean_ms.max(0.0) / 1000.0)
     }
 
     /// Removes all other owners than those to keep.
     pub fn retain(&mut self, keep: impl Fn(ids::UpstreamKey) -> bool) {
         self.averages.retain(|owner, _| keep(*owner));
+        self.update_mean();
     }
 }
 
--- a/src/ownership/rebalancing.rs
+++ b/src/ownership/rebalancing.rs
@@ -11,28 +11,33 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Interval of rebalancing.
-pub const REBALANCE_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval of rebalancing in a small service.
+const MIN_REBALANCE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Interval of rebalancing for each range.
+///
+/// Each time the record is written, and announced to all instances.
+const REBALANCE_TIME_PER_RANGE: Duration = Duration::from_micros(2500);
 
 /// Time after a move for which a range is not moved for its load.
 const MOVE_COOLDOWN: Duration = Duration::from_millis(900);
 
 /// Most moves of one rebalancing, and upstreams for each more that is allowed.
 const MAX_MOVES: usize = 12;
-const UPSTREAMS_PER_MOVE: usize = 10;
+const UPSTREAMS_PER_MOVE: usize = 4;
 
 /// Share of the service's load that one rebalancing moves between owners of which none has
 /// twice its fair share.
 ///
 /// Requests for moved keys wait until the former owner has ended what it runs for them.
-const MAX_STEADY_SHARE: f32 = 0.004;
+const MAX_STEADY_SHARE: f32 = 0.015;
 
 /// Time after a move for which a range is not moved to join another one.
 const JOIN_COOLDOWN: Duration = Duration::from_secs(2);
 
 /// Most ranges that one rebalancing moves to join others, and upstreams for each more.
 const MAX_JOINS: usize = 6;
-const UPSTREAMS_PER_JOIN: usize = 20;
+const UPSTREAMS_PER_JOIN: usize = 8;
 
 /// Share of the mean load of an upstream up to which a range is moved to join another one.
 const MAX_JOIN_SHARE: f32 = 0.35;
@@ -53,6 +58,11 @@
 /// Its queue grows for as long as it gets more than its share.
 const QUEUEING_RATIO: f32 = 1.1;
 
+/// Ratio of the used share of its slots to the mean of all owners from which it counts so.
+///
+/// Where all have queues, moves only delay what is queued.
+const QUEUEING_USE_RATIO: f32 = 1.3;
+
 /// Standard deviations that suffice for such an owner.
 const QUEUEING_DEVIATIONS: f32 = 1.0;
 
@@ -79,17 +89,17 @@
 /// service's load, and yet all that a slow one can take.
 const MIN_MOVE_SHARE: f32 = 0.13;
 
-/// Ranges for each upstream beyond which no part is split off for its load.
+/// Ranges for each upstream beyond which no part is split off for its load, as a fraction.
 ///
 /// The pattern: each key that is hot for a while is split off and leaves pieces behind.
 /// Every range is renewed by itself, so that many of them would lengthen the grants, and
 /// with them the time until a lost owner is replaced.
-const MAX_RANGES: usize = 2;
+const MAX_RANGES: (usize, usize) = (3, 2);
 
 /// Ranges for each upstream beyond which no part moves to an adjacent owner, as a fraction.
 ///
 /// The part joins its neighbour only some seconds later, and hot keys need the rest.
-const MAX_UNJOINED_RANGES: (usize, usize) = (7, 4);
+const MAX_UNJOINED_RANGES: (usize, usize) = (4, 3);
 
 /// Ranges that may exist in any case.
 const MIN_MAX_RANGES: usize = 120;
@@ -157,12 +167,14 @@
 
     /// Returns whether the owner has more than its fair share, by more than chance, and uses
     /// much of its slots or limit.
-    fn is_overloaded(&self, fair_share: f32, deviations: f32) -> bool {
+    fn is_overloaded(&self, fair_share: f32, deviations: f32, mean_use: f32) -> bool {
         let used = self.load * self.use_per_count;
         let (ratio, deviations) = match self.is_limited {
             // What exceeds a limit is refused, while other owners only become slower.
             true => (OVERLOAD_RATIO, MIN_LIMITED_DEVIATIONS),
-            false if used > 1.0 => (QUEUEING_RATIO, QUEUEING_DEVIATIONS),
+            false if used > (mean_use * QUEUEING_USE_RATIO).max(1.0) => {
+                (QUEUEING_RATIO, QUEUEING_DEVIATIONS)
+            }
             false => (OVERLOAD_RATIO, deviations),
         };
         let variance = fair_share.max(1.0) * self.variance / self.load.max(1.0);
@@ -219,6 +231,13 @@
         load / self.entries.len().max(1) as f32
     }
 
+    /// Returns the mean share of their slots that the upstreams use; more than 1 with queues.
+    fn mean_use(&self) -> f32 {
+        let entries = self.entries.values();
+        let used: f32 = entries.map(|entry| entry.load * entry.use_per_count).sum();
+        used / self.entries.len().max(1) as f32
+    }
+
     /// Returns whether the least loaded upstream lacks most of its fair share.
     fn is_any_idle(&self) -> bool {
         let mean = self.mean_relative_load();
@@ -264,6 +283,11 @@
     }
 }
 
+/// Returns the interval of rebalancing with a number of ranges.
+pub fn rebalance_interval(ranges: usize) -> Duration {
+    MIN_REBALANCE_INTERVAL.max(REBALANCE_TIME_PER_RANGE * ranges as u32)
+}
+
 /// Divides a range that its owner loses among the least loaded upstreams.
 pub fn replace_owner(
     loads: &mut OwnerLoads,
@@ -304,7 +328,7 @@
         return moves;
     }
     let upstreams = loads.entries.len();
-    let max_ranges = (upstreams * MAX_RANGES).max(MIN_MAX_RANGES);
+    let max_ranges = (upstreams * MAX_RANGES.0 / MAX_RANGES.1).max(MIN_MAX_RANGES);
     let max_unjoined = upstreams * MAX_UNJOINED_RANGES.0 / MAX_UNJOINED_RANGES.1;
     let split_ratio = match upstreams > MIN_MAX_RANGES {
         true => SPLIT_RATIO,
@@ -353,7 +377,8 @@
     if assignments.len() > upstreams.max(MIN_MAX_RANGES) {
         let parts = parts.iter().map(|part| part.range);
         let unmoved: BTreeSet<_> = parts.map(|range| (range.first, range.last)).collect();
-        moves.extend(choose_joins(now, assignments, &unmoved, loads, load));
+        let joins = choose_joins(now, assignments, &unmoved, max_steady_load, loads, load);
+        moves.extend(joins);
     }
     moves
 }
@@ -396,13 +421,14 @@
     let room = mean * target.capacity - target.load;
     let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
     let deviations = loads.chance_deviations();
+    let mean_use = loads.mean_use();
     for from in loads.by_descending_load() {
         let source = loads.entries[&from];
         let fair_share = mean * source.capacity;
         // An upstream without ranges, which has just joined, gets its share even if no
         // owner is overloaded.
         let joins = target.range_count == 0;
-        let overloaded = source.is_overloaded(fair_share, deviations)
+        let overloaded = source.is_overloaded(fair_share, deviations, mean_use)
             && (source.load > fair_share * split_ratio
                 || room > mean * target.capacity * IDLE_SHARE);
         if from == to || !(overloaded || joins) {
@@ -423,12 +449,13 @@
             .filter(|part| part.owner == from)
             .filter_map(|part| load.find_part(&part.range, min_load, max_load))
             .min_by_key(|part| part.last - part.first);
-        // A key may be too hot for any fair share, and yet better off on its own.
+        // A key may be too hot for any fair share, and yet better off on its own. The hottest
+        // one stays, since it would have no owner until all that runs for it has ended.
         let hot = || {
-            let least = source.load - target.load - min_amount;
+            let most = (source.load - target.load - min_amount).min(source.load / 2.0);
             let parts = parts.iter().filter(|part| part.owner == from);
             let hot = parts.filter_map(|part| load.find_hot_bucket(&part.range, max_load));
-            let better = hot.filter(|(_, amount)| *amount < least);
+            let better = hot.filter(|(_, amount)| *amount < most);
             let lightest = better.min_by(|one, other| one.1.total_cmp(&other.1));
             lightest.map(|(range, _)| range)
         };
@@ -451,11 +478,15 @@
     let room = mean * target.capacity - target.load;
     let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
     let deviations = loads.chance_deviations();
+    let mean_use = loads.mean_use();
     for from in loads.by_descending_load() {
         let source = loads.entries[&from];
         let fair_share = mean * source.capacity;
         let amount = (source.load - fair_share).min(room);
-        if from == to || amount < min_amount || !source.is_overloaded(fair_share, deviations) {
+        if from == to
+            || amount < min_amount
+            || !source.is_overloaded(fair_share, deviations, mean_use)
+        {
             continue;
         }
         let (min_load, max_load) = move_bounds(amount);
@@ -486,10 +517,11 @@
     let mean = loads.mean_relative_load();
     let min_amount = loads.mean_load() * MIN_MOVE_SHARE;
     let deviations = loads.chance_deviations();
+    let mean_use = loads.mean_use();
     for from in loads.by_descending_load() {
         let source = loads.entries[&from];
         let fair_share = mean * source.capacity;
-        if !source.is_overloaded(fair_share, deviations) {
+        if !source.is_overloaded(fair_share, deviations, mean_use) {
             continue;
         }
         let mut best: Option<(f32, RangeMove)> = None;
@@ -534,10 +566,13 @@
 }
 
 /// Chooses ranges of little load that move to the owner of an adjacent one and join it.
+///
+/// Those of the least load come first; together they have no more than `most`.
 fn choose_joins(
     now: Duration,
     assignments: &[assignment::AssignmentState],
     unmoved: &BTreeSet<(u64, u64)>,
+    most: f32,
     loads: &mut OwnerLoads,
     load: &load::LoadMap,
 ) -> Vec<RangeMove> {
@@ -547,14 +582,20 @@
     let mean_width = load::BUCKETS as f32 / loads.entries.len().max(1) as f32;
     let mut moves: Vec<RangeMove> = Vec::new();
     let mut owners: Vec<ids::UpstreamKey> = Vec::new();
-    for piece in assignments {
-        let (amount, range) = (load.load(&piece.range), piece.range);
+    let mut left = most;
+    let pieces = assignments
+        .iter()
+        .map(|piece| (load.load(&piece.range), piece));
+    let mut pieces: Vec<_> = pieces.filter(|(amount, _)| *amount <= max_load).collect();
+    pieces.sort_by(|one, other| one.0.total_cmp(&other.0));
+    for (amount, piece) in pieces {
+        let range = piece.range;
         let rests = unmoved.contains(&(range.first, range.last));
         let several = loads.entries.get(&piece.owner);
         if !rests
             || now < piece.assigned_at + JOIN_COOLDOWN
             || several.is_none_or(|owner| owner.range_count < 2)
-            || amount > max_load
+            || amount > left
             || load.width(&range) > mean_width
             || owners.contains(&piece.owner)
         {
@@ -570,6 +611,7 @@
             !owners.contains(to) && target.is_some_and(has_room)
         });
         let Some(to) = to else { continue };
+        left -= amount;
         loads.add(piece.owner, -amount);
         loads.add(to, amount);
         owners.extend([piece.owner, to]);
--- a/tests/ownership_core/grants.rs
+++ b/tests/ownership_core/grants.rs
@@ -263,6 +263,39 @@
     assert!(contiguous, "the ranges have no gaps");
 }
 
+/// Its keys would have no owner until the former one has ended what it runs for them, and the
+/// next owner could serve no more.
+#[test]
+fn the_hottest_key_of_an_owner_stays() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.run(Duration::from_secs(2));
+    let hottest = 5;
+    for _ in 0..10 {
+        let counts = (0..32).map(|key| load::BucketCount {
+            bucket: load::bucket_of(key, LAST_KEY) as u32,
+            count: if key == hottest { 200 } else { 1 },
+        });
+        let latencies = (0..2).map(|index| load::OwnerLatency {
+            owner: candidate(index, false).info.key,
+            responses: 20,
+            sum_ms: 4000,
+        });
+        driver.feed(OwnershipEvent::LoadReported(load::LoadReport {
+            counts: counts.collect(),
+            latencies: latencies.collect(),
+        }));
+        driver.run(Duration::from_millis(300));
+    }
+    let records = driver.commits.iter().map(|commit| &commit.record);
+    let mut assignments = records.flat_map(|record| &record.assignments);
+    let moved = assignments.find(|assignment| {
+        let range = assignment.range;
+        range.first <= hottest && hottest <= range.last && !assignment.former_owners.is_empty()
+    });
+    assert_eq!(moved, None, "the hottest key has no owner for a while");
+}
+
 #[test]
 fn records_survive_encoding() {
     let record = record_of_other_leader(true);
