--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -2,7 +2,7 @@
 
 use super::OwnershipCore;
 use crate::ids;
-use crate::ownership::{assignment, interface, leadership, load, rebalancing, record};
+use crate::ownership::{assignment, interface, leadership, load, owner_loads, rebalancing, record};
 use crate::range;
 use std::time::Duration;
 
@@ -250,7 +250,7 @@
             let key = candidate.info.key;
             let latency = self.latency.latency(now, key).as_secs_f32();
             let count_time = load::LoadMap::mean_count_time();
-            let capacity = rebalancing::OwnerCapacity {
+            let capacity = owner_loads::OwnerCapacity {
                 key,
                 capacity: candidate.capacity(now) / self.latency.slowness(now, key),
                 use_per_count: latency / count_time.as_secs_f32() / candidate.slots.max(1) as f32,
@@ -261,7 +261,7 @@
                 None => capacity,
             }
         });
-        let mut loads = rebalancing::OwnerLoads::new(capacities, assignments, &self.load);
+        let mut loads = owner_loads::OwnerLoads::new(capacities, assignments, &self.load);
         let mut moves = Vec::new();
         let predecessors_expire_at = self.predecessors_expire_at();
         let first_fence = self.first_fence();
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -33,6 +33,7 @@
 pub mod interface;
 pub mod leadership;
 pub mod load;
+pub mod owner_loads;
 pub mod patch;
 pub mod rebalancing;
 pub mod record;
