Wait for a second of refused connections before an unregistered owner counts as ended

A leader moved its keys at 14.314 s, its releases were refused twice within 190 ms, and the next owner was granted them at 14.503 s; the former one ended at 15.037 s, so that two upstreams held the keys for 533 ms.

Ruled out: replaced addresses (the address had no other upstream), load moves (the reason was 'owner is gone'), a predecessor's renewals (it had stopped 0.2 s before).

Change: the address must refuse for a second, without an answer or a registration between. Keys of a lost owner come back that much later where nothing else proves its end.

--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -25,8 +25,11 @@
 /// Largest multiple of [`RETRY_BACKOFF`] to which the backoff grows.
 const MAX_BACKOFF_STEPS: u32 = 8;
 
-/// Refused connections after which the run of an unregistered upstream counts as ended.
-const REFUSED_CONNECTIONS_UNTIL_ENDED: u32 = 2;
+/// Time for which the address of an unregistered upstream must refuse connections before its
+/// run counts as ended.
+///
+/// An upstream that stops may close its listener before it ends, and holds its keys until then.
+const REFUSING_TIME: Duration = Duration::from_millis(1000);
 
 /// Returns the longest time after its sending for which a grant may be valid.
 pub fn max_grant_age(ttl: Duration) -> Duration {
@@ -59,7 +62,8 @@
     pub release_at: Duration,
     /// Whether the owner refuses grants that predecessors may still send.
     pub fenced: bool,
-    refused_connections: u32,
+    /// Since when all release calls were refused while the upstream was unregistered.
+    refused_since: Option<Duration>,
     failures: u32,
 }
 
@@ -96,10 +100,12 @@
         self.in_flight = false;
         self.failures += 1;
         self.release_at = now + RETRY_BACKOFF * self.failures.min(MAX_BACKOFF_STEPS);
-        if refused && !registered {
-            self.refused_connections += 1;
+        if !refused || registered {
+            self.refused_since = None;
+            return;
         }
-        if self.refused_connections >= REFUSED_CONNECTIONS_UNTIL_ENDED {
+        let since = *self.refused_since.get_or_insert(now);
+        if now >= since + REFUSING_TIME {
             self.status = ReleaseStatus::Ended;
         }
     }
@@ -150,7 +156,7 @@
                 in_flight: false,
                 release_at: now,
                 fenced: false,
-                refused_connections: 0,
+                refused_since: None,
                 failures: 0,
             });
         AssignmentState {
@@ -236,7 +242,7 @@
             in_flight: false,
             release_at: now,
             fenced: self.is_fenced(first_fence),
-            refused_connections: 0,
+            refused_since: None,
             failures: 0,
         });
         let initial = AssignmentState::initial(now, self.range, owner, fence);
--- a/tests/ownership_core/grants.rs
+++ b/tests/ownership_core/grants.rs
@@ -344,3 +344,42 @@
     let moved = assignments.find(|assignment| !assignment.former_owners.is_empty());
     assert_eq!(moved, None, "its keys have no owner for seconds");
 }
+
+/// Regression test: an upstream that stops closes its listener and holds its keys for up to a
+/// second more. Two refused connections were taken as its end, and two upstreams owned its keys.
+#[test]
+fn an_upstream_that_has_just_begun_to_refuse_connections_may_still_hold_its_keys() {
+    const CLOSED_BEFORE_END: Duration = Duration::from_millis(900);
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.run(Duration::from_secs(2));
+    driver.releases_end = false;
+    let lost = candidate(0, false).info.key;
+    let mut assignments = driver.last_record().assignments.iter();
+    let owned = assignments.find(|assignment| assignment.owner == lost);
+    let lost_range = owned.expect("it owns a range").range;
+    let only = candidates::CandidateTable::new(vec![candidate(1, false)]);
+    driver.feed(OwnershipEvent::CandidatesUpdated(only));
+    driver.run(TICK * 2);
+    driver.grants.clear();
+    let begun = driver.now;
+    let mut answered = 0;
+    while driver.now < begun + CLOSED_BEFORE_END {
+        for (former, range) in driver.releases.split_off(answered) {
+            driver.feed(OwnershipEvent::ReleaseFinished {
+                range,
+                former,
+                result: ReleaseResult::ConnectionRefused,
+            });
+        }
+        answered = driver.releases.len();
+        driver.run(TICK);
+        let mut grants = driver.grants.iter();
+        let granted = grants.any(|grant| grant.range.overlaps(&lost_range));
+        assert!(
+            !granted,
+            "granted {:?} after the first refusal",
+            driver.now - begun
+        );
+    }
+}
