--- a/src/ownership/rebalancing.rs
+++ b/src/ownership/rebalancing.rs
@@ -70,6 +70,11 @@
 /// The part joins its neighbour only some seconds later, and hot keys need the rest.
 const MAX_UNJOINED_RANGES: (usize, usize) = (4, 3);
 
+/// Upstreams above which splits are kept for owners of twice their fair share.
+///
+/// A smaller service has ranges to spare, since [`MIN_MAX_RANGES`] may exist in any case.
+const LARGE_SERVICE: usize = MIN_MAX_RANGES;
+
 /// Ranges that may exist in any case.
 const MIN_MAX_RANGES: usize = 120;
 
@@ -133,7 +138,7 @@
     let upstreams = loads.count();
     let max_ranges = (upstreams * MAX_RANGES.0 / MAX_RANGES.1).max(MIN_MAX_RANGES);
     let max_unjoined = upstreams * MAX_UNJOINED_RANGES.0 / MAX_UNJOINED_RANGES.1;
-    let split_ratio = match upstreams > MIN_MAX_RANGES {
+    let split_ratio = match upstreams > LARGE_SERVICE {
         true => SPLIT_RATIO,
         false => owner_loads::OVERLOAD_RATIO,
     };
@@ -158,7 +163,7 @@
             chosen = choose_move(&parts, loads, load, split_ratio);
         }
         let is_steady = chosen.is_none();
-        if is_steady && upstreams > MIN_MAX_RANGES && steady_load < max_steady_load {
+        if is_steady && upstreams > LARGE_SERVICE && steady_load < max_steady_load {
             chosen = choose_whole_move(&parts, loads, load);
             if chosen.is_none() && assignments.len() + moves.len() < max_unjoined {
                 chosen = choose_end_move(&parts, assignments, loads, load);
