Bar a request under which three upstreams ended, at all instances

Cause: nothing outlived one attempt of the caller. AttemptProgress knows the upstreams that it has tried, and no instance told another. Class: a harm whose memory ends with the one that saw it. Change: a connection that breaks under a request is told from an upstream that ended, by one more connect (attempt result 'ended'). Requests are known by caller, method, host, path, key and body. After three ends without an answer since, a request is barred for 60 s, twice as long after each further end, and refused at once with a true 503. An answer clears it at all instances, and a request with two ends runs alone, so that those beside it are not condemned. Ends and answers are sets that only grow: news goes to all through the heads of groups, and once a second each instance that remembers any tells one other at random, at most 32 requests. Table 1,024 requests, 120 s. Logs: request-suspected with fingerprint, ends and bar; metric godwitloom_upstream_crashes.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod calls;
+mod crashes;
 mod departures;
 mod limits;
 mod peers;
@@ -160,6 +161,8 @@
         self.spawn(Self::receive_datagrams(self.clone()));
         self.spawn(Self::send_asks(self.clone()));
         self.spawn(Self::pass_on_departures(self.clone()));
+        self.spawn(Self::pass_on_crashes(self.clone()));
+        self.spawn(Self::exchange_crashes(self.clone()));
         async_io::block_on(self.executor.run(stop));
     }
 
--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -80,7 +80,7 @@
     /// Returns the instances among which a service's limits are divided.
     ///
     /// A service without keys has no leader; the first list known serves for it.
-    fn members(&self, service: &str) -> Option<Arc<members::MemberList>> {
+    pub(super) fn members(&self, service: &str) -> Option<Arc<members::MemberList>> {
         let services = self.services.borrow();
         let own = services
             .get(service)
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -291,6 +291,7 @@
             }
             peer::MessageContent::ChangesAsk { after } => self.repeat_changes(after, sender),
             peer::MessageContent::Items { era, items } => self.apply_items(era, items.into_iter()),
+            peer::MessageContent::Crashes(records) => self.apply_crashes(&records),
             peer::MessageContent::Members(list) => self.apply_members(&service, list),
             peer::MessageContent::PermitAsk(ask) => {
                 self.answer_ask(&service, &ask, Some(sender));
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -3,6 +3,7 @@
 use crate::directory;
 use crate::event_log::{EventClass, LogEvent};
 use crate::ids;
+use crate::notices::crashes;
 use crate::ownership::interface;
 use serde::Serialize;
 
@@ -39,6 +40,16 @@
     }
 }
 
+/// Where it was seen that an upstream ended under a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CrashSource {
+    /// An attempt of this instance.
+    Attempt,
+    /// The message of another instance.
+    Peer,
+}
+
 macro_rules! state_event {
     ($(#[$doc:meta])* $name:ident, $event:literal, { $($(#[$field_meta:meta])* $field:ident: $kind:ty),* $(,)? }) => {
         $(#[$doc])*
@@ -127,6 +138,39 @@
     /// An upstream wants no requests from this instance for a while.
     UpstreamPaused, "upstream-pause", { upstream: String, service: String, ms: u64 }
 }
+state_event! {
+    /// An upstream ended under a request, or an answer cleared the request.
+    RequestSuspected, "request-suspected", {
+        /// Fingerprint of the request, in hexadecimal digits.
+        fingerprint: String,
+        /// Upstream that ended, if this instance saw it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        upstream: Option<String>,
+        /// Upstreams that ended under the request since it was last answered.
+        ends: usize,
+        /// Duration of the bar that begins now.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        bar_ms: Option<u64>,
+        source: CrashSource,
+    }
+}
+
+impl RequestSuspected {
+    /// Creates the event of a change.
+    pub fn new(
+        change: crashes::CrashChange,
+        upstream: Option<&str>,
+        source: CrashSource,
+    ) -> RequestSuspected {
+        RequestSuspected {
+            fingerprint: format!("{:016x}", change.request.0),
+            upstream: upstream.map(str::to_owned),
+            ends: change.ends,
+            bar_ms: change.bar.map(|bar| bar.as_millis() as u64),
+            source,
+        }
+    }
+}
 state_event! {
     /// The instances changed among which limits are divided.
     MembersChanged, "limit-members", { service: String, era: u64, revision: u64, sequence: u64, instances: usize }
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -11,6 +11,7 @@
 use crate::fleet::relay;
 use crate::ids;
 use crate::limits::{allocator, members};
+use crate::notices::crashes;
 use crate::ownership::{load, patch, record};
 use crate::store;
 use prost::Message;
@@ -97,6 +98,8 @@
         era: store::Era,
         items: Vec<store::StoredItem>,
     },
+    /// What the sender knows of requests under which upstreams ended.
+    Crashes(Vec<crashes::CrashRecord>),
     /// Instances among which the service's leader divides the limits.
     Members(Arc<members::MemberList>),
     /// Request for permits, to the allocator of a limit.
@@ -115,6 +118,7 @@
         matches!(
             self,
             MessageContent::Changes(_)
+                | MessageContent::Crashes(_)
                 | MessageContent::Patch { .. }
                 | MessageContent::Record { .. }
         )
--- a/src/fleet/peer/wire.rs
+++ b/src/fleet/peer/wire.rs
@@ -1,6 +1,7 @@
 //! Protobuf encoding of the messages between instances.
 
 mod addresses;
+mod crashes;
 mod limits;
 
 use crate::fleet::relay;
@@ -20,7 +21,7 @@
     name: String,
     #[prost(
         oneof = "WireContent",
-        tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     content: Option<WireContent>,
 }
@@ -51,6 +52,8 @@
     ChangesAsk(WireVersion),
     #[prost(message, tag = "15")]
     Items(WireItems),
+    #[prost(message, tag = "16")]
+    Crashes(crashes::WireCrashes),
 }
 
 /// Buckets with their counts, and owners with their latencies, are parallel lists.
@@ -370,6 +373,7 @@
                     items: items.iter().map(item).collect(),
                 })
             }
+            super::MessageContent::Crashes(records) => WireContent::Crashes((&records[..]).into()),
             super::MessageContent::Members(list) => WireContent::Members((&**list).into()),
             super::MessageContent::PermitAsk(ask) => WireContent::PermitAsk(ask.into()),
             super::MessageContent::PermitAnswer(answer) => WireContent::PermitAnswer(answer.into()),
@@ -433,6 +437,7 @@
                     items: changes.filter_map(store::StoreChange::into_item).collect(),
                 }
             }
+            WireContent::Crashes(wire) => super::MessageContent::Crashes(wire.into()),
             WireContent::Members(list) => {
                 super::MessageContent::Members(Arc::new(list.try_into()?))
             }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -213,9 +213,14 @@
                 Ok(permit) => permit,
                 Err(reason) => return progress.give_up(reason),
             };
+            let trial = match self.admit_suspect(routed) {
+                Ok(trial) => trial,
+                Err(reason) => return progress.give_up(reason),
+            };
             let attempt = self.attempt(routed, &permit, progress).await;
             let permit_pool = permit.pool().clone();
             drop(permit);
+            drop(trial);
             progress.record(&attempt);
             let upstream = attempt.upstream.key;
             let responded = match attempt.result {
@@ -275,6 +280,7 @@
             connection,
         } = future::or(exchange, ended).await;
         let elapsed = started.elapsed();
+        let result = self.note_survival(routed, pool, result).await;
         let upstream = pool.view.borrow().clone();
         self.apply_notice(&routed.service, &upstream, notice, result.is_ok());
         if let Some(statement) = statement {
@@ -449,7 +455,9 @@
 
 fn record_error(pool: &pools::UpstreamPool, error: &exchange::ExchangeError, elapsed: Duration) {
     match error {
-        exchange::ExchangeError::Unreachable(_) | exchange::ExchangeError::ConnectTimeout(_) => {
+        exchange::ExchangeError::Unreachable(_)
+        | exchange::ExchangeError::ConnectTimeout(_)
+        | exchange::ExchangeError::Ended { .. } => {
             pool.record_connect_failure();
         }
         exchange::ExchangeError::Refused { status: 421, by } => {
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -15,6 +15,7 @@
 use futures_util::stream::{FuturesOrdered, StreamExt};
 use serde::Serialize;
 use std::future::Future;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -44,6 +45,8 @@
 pub struct CallerRequest {
     pub head: head::RequestHead,
     pub body: Bytes,
+    /// Address of the caller.
+    pub caller: IpAddr,
     /// When the head was complete.
     pub arrived: Instant,
 }
@@ -86,6 +89,8 @@
     context: Arc<context::GatewayContext>,
     runner: Rc<attempts::AttemptRunner>,
     socket: socket::SharedSocket,
+    /// Address of the caller.
+    caller: IpAddr,
 }
 
 impl CallerConnection {
@@ -94,11 +99,13 @@
         context: Arc<context::GatewayContext>,
         runner: Rc<attempts::AttemptRunner>,
         socket: socket::SharedSocket,
+        caller: IpAddr,
     ) -> CallerConnection {
         CallerConnection {
             context,
             runner,
             socket,
+            caller,
         }
     }
 
@@ -213,7 +220,7 @@
     fn read(&self, reader: reader::MessageReader) -> ReadFuture {
         let context = self.context.clone();
         let limits = self.limits();
-        Box::pin(read_request(context, limits, reader))
+        Box::pin(read_request(context, self.caller, limits, reader))
     }
 }
 
@@ -242,11 +249,12 @@
 
 async fn read_request(
     context: Arc<context::GatewayContext>,
+    caller: IpAddr,
     limits: routing::CallerLimits,
     mut reader: reader::MessageReader,
 ) -> (reader::MessageReader, ReadResult) {
     let result = match await_request(&context, limits, &mut reader).await {
-        Ok(()) => match read_head_and_body(limits, &mut reader).await {
+        Ok(()) => match read_head_and_body(caller, limits, &mut reader).await {
             Ok(request) => ReadResult::Request(Box::new(request)),
             Err(error) => classify_error(error),
         },
@@ -289,6 +297,7 @@
 }
 
 async fn read_head_and_body(
+    caller: IpAddr,
     limits: routing::CallerLimits,
     reader: &mut reader::MessageReader,
 ) -> Result<CallerRequest, RequestError> {
@@ -313,6 +322,7 @@
     Ok(CallerRequest {
         head,
         body,
+        caller,
         arrived,
     })
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -7,7 +7,7 @@
 use crate::ids;
 use crate::limits::table;
 use crate::metrics;
-use crate::notices::{departures, pauses};
+use crate::notices::{crashes, departures, pauses};
 use crate::ownership::load;
 use crate::routing;
 use arc_swap::ArcSwap;
@@ -51,6 +51,8 @@
     pub departures: departures::DepartureTable,
     /// Upstreams that want no requests for a while.
     pub pauses: pauses::PauseTable,
+    /// Requests under which upstreams ended.
+    pub crashes: crashes::CrashTable,
     /// Requests that were read and have no response yet.
     pub in_flight: AtomicUsize,
     stopping_since: OnceLock<Instant>,
@@ -124,6 +126,7 @@
             limits: table::LimitTable::default(),
             departures: departures::DepartureTable::default(),
             pauses: pauses::PauseTable::default(),
+            crashes: crashes::CrashTable::default(),
             in_flight: AtomicUsize::new(0),
             stopping_since: OnceLock::new(),
             close_idle: Event::new(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use futures_lite::future;
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -59,6 +60,12 @@
         written: usize,
         source: h1::ReadError,
     },
+    #[error("upstream ended after {written} bytes of the request: {source}")]
+    Ended {
+        /// Bytes of the request that the kernel took.
+        written: usize,
+        source: h1::ReadError,
+    },
     #[error("response has another request ID, none, or an encoding that was not requested")]
     Unusable,
     #[error("no response before the request's deadline")]
@@ -73,9 +80,10 @@
             | ExchangeError::ConnectTimeout(_)
             | ExchangeError::Refused { .. }
             | ExchangeError::Broken { written: 0, .. } => outcome::Outcome::NotRun,
-            ExchangeError::Broken { .. } | ExchangeError::Unusable | ExchangeError::Timeout => {
-                outcome::Outcome::Unknown
-            }
+            ExchangeError::Broken { .. }
+            | ExchangeError::Ended { .. }
+            | ExchangeError::Unusable
+            | ExchangeError::Timeout => outcome::Outcome::Unknown,
         }
     }
 
@@ -88,6 +96,7 @@
             ExchangeError::Refused { .. } => "refused",
             ExchangeError::Broken { written: 0, .. } => "unsent",
             ExchangeError::Broken { .. } => "broken",
+            ExchangeError::Ended { .. } => "ended",
             ExchangeError::Unusable => "foreign-answer",
             ExchangeError::Timeout => "timeout",
         }
@@ -258,9 +267,18 @@
     Ok(response)
 }
 
+/// Returns whether an upstream, whose connection broke, accepts no connection any more.
+///
+/// A connection that is refused by what lies between looks the same.
+pub async fn has_ended(address: SocketAddr) -> bool {
+    let connected = timer::within(CONNECT_TIMEOUT, socket::connect(address)).await;
+    let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    matches!(connected, Some(Err(error)) if refused(&error))
+}
+
 async fn connect(
     pool: &Rc<pools::UpstreamPool>,
-    address: &std::net::SocketAddr,
+    address: &SocketAddr,
     used: &[reader::ConnectionNumber],
 ) -> Result<reader::MessageReader, ExchangeError> {
     if let Some(reader) = pool.take_idle(used) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!   reservation               waits for an upstream that may get the request
 //!   choice::choose            selects the upstream of an attempt
 //!   exchange::exchange        sends the request and reads the whole response
+//!   crash_guard               bars requests under which upstreams end
 //! ```
 //!
 //! Each traffic thread keeps its own connections to upstreams and its own
@@ -16,6 +17,7 @@
 pub mod caller;
 pub mod choice;
 pub mod context;
+mod crash_guard;
 pub mod exchange;
 pub mod header_names;
 pub mod pools;
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -210,6 +210,12 @@
         state.idle.clear();
     }
 
+    /// Returns whether a connect failed a moment ago, so that it need not be tried again.
+    pub fn failed_to_connect(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        state.connect_failures > 0 && state.ejected_until.is_some_and(|until| now < until)
+    }
+
     /// Records that another upstream has the address, and ejects this one.
     pub fn record_misdirected(&self) {
         let mut state = self.state.borrow_mut();
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -42,6 +42,8 @@
     RateLimited,
     /// The upstreams that may get the request want none for a stated time.
     UpstreamPaused,
+    /// Upstreams ended under the request when it ran before.
+    CrashesUpstreams,
     /// Upstreams refused the request or could not be reached; it did not run.
     Refused,
     /// The deadline passed before the request was sent.
@@ -67,6 +69,7 @@
             | RefusalReason::Overloaded
             | RefusalReason::RateLimited
             | RefusalReason::UpstreamPaused
+            | RefusalReason::CrashesUpstreams
             | RefusalReason::Refused
             | RefusalReason::ExpiredUnsent => 503,
             RefusalReason::LostResponse => 502,
@@ -89,6 +92,7 @@
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::RateLimited => "rate-limited",
             RefusalReason::UpstreamPaused => "upstream-paused",
+            RefusalReason::CrashesUpstreams => "crashes-upstreams",
             RefusalReason::Refused => "refused",
             RefusalReason::ExpiredUnsent => "expired-unsent",
             RefusalReason::LostResponse => "lost-answer",
--- a/src/gateway/retry_delay.rs
+++ b/src/gateway/retry_delay.rs
@@ -54,6 +54,8 @@
             response::RefusalReason::RateLimited | response::RefusalReason::UpstreamPaused,
             Some(turn),
         ) => turn.delay(max),
+        // It cannot be served while its caller waits.
+        (response::RefusalReason::CrashesUpstreams, _) => max,
         (response::RefusalReason::Overloaded, _) => {
             let base = MIN_DELAY.max(refused.objective.mul_f64(OBJECTIVE_SHARE));
             base.mul_f64(1.0 + chance)
--- a/src/gateway/thread.rs
+++ b/src/gateway/thread.rs
@@ -8,7 +8,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
@@ -53,7 +53,7 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((io, _)) => spawn_connection(executor, context, io, runner),
+            Ok((io, address)) => spawn_connection(executor, context, io, address.ip(), runner),
             Err(error) => {
                 log::warn!("connection cannot be accepted: {error}; raise the limit on open files");
                 Timer::after(ACCEPT_BACKOFF).await;
@@ -66,11 +66,13 @@
     executor: &Rc<LocalExecutor<'static>>,
     context: &Arc<context::GatewayContext>,
     io: Async<TcpStream>,
+    address: IpAddr,
     runner: &Rc<attempts::AttemptRunner>,
 ) {
     match socket::configure(io) {
         Ok(socket) => {
-            let connection = caller::CallerConnection::new(context.clone(), runner.clone(), socket);
+            let connection =
+                caller::CallerConnection::new(context.clone(), runner.clone(), socket, address);
             executor.spawn(connection.serve()).detach();
         }
         Err(error) => {
@@ -88,5 +90,6 @@
         let now = context.clock.now();
         context.departures.trim(now, |key| view.has_upstream(key));
         context.pauses.trim(now);
+        context.crashes.trim(now);
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -29,6 +29,7 @@
     limit_refusals: Counter<u64>,
     pauses: Counter<u64>,
     departures: Counter<u64>,
+    crashes: Counter<u64>,
     pub control: ControlMetrics,
     pub fleet: telemetry::FleetMetrics,
 }
@@ -119,6 +120,10 @@
                 .u64_counter("godwitloom.upstream.departures")
                 .with_description("Upstreams that were said to leave, by source")
                 .build(),
+            crashes: meter
+                .u64_counter("godwitloom.upstream.crashes")
+                .with_description("Ends of upstreams that this instance saw, by request")
+                .build(),
             control: ControlMetrics::new(&meter),
             fleet: telemetry::FleetMetrics::new(&meter),
             _provider: provider,
@@ -175,6 +180,12 @@
         self.departures.add(1, &labels(service, "source", source));
     }
 
+    /// Counts an end of an upstream under a request.
+    pub fn record_crash(&self, service: &str) {
+        self.crashes
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     pub fn record_retry(&self, service: &str) {
         self.retries
             .add(1, &[KeyValue::new("service", service.to_owned())]);
--- a/src/notices/mod.rs
+++ b/src/notices/mod.rs
@@ -1,13 +1,16 @@
-//! What upstreams say of themselves in their responses, besides their limits.
+//! What upstreams say of themselves in their responses, besides their limits, and what
+//! ends them.
 //!
 //! ```text
 //! departures::DepartureTable    upstreams that leave
 //! pauses::PauseTable            upstreams that want no requests for a stated time
+//! crashes::CrashTable           requests under which upstreams ended
 //! ```
 //!
-//! Both bind this instance at once, whatever the metadata store or another instance
+//! The first two bind this instance at once, whatever the metadata store or another instance
 //! says, since nobody knows better than the upstream itself.
 
+pub mod crashes;
 pub mod departures;
 pub mod pauses;
 
