Count an upstream's leaving from when it can have begun, not from when an instance hears of it

What callers saw (reported, DRAIN): a request reached an upstream later than the drain time after the store had acknowledged that it leaves. Cause: an owner that leaves serves the requests for its keys for 0.6 of the drain time, and every instance counted that from its own receipt of the news. A follower whose relay is suspended, or whose frame was lost, hears of it 0.9 s and a call later, and then sent on for 1.2 s. Class: knowledge that is dated by its arrival. Change: an instance keeps until when it misses no change of the store (its own watches, the relay's heartbeats, each with the relay's age), and a departure counts from then. A relayed change carries the time for which it may have been true. A restarted instance does not know and counts the whole time as past. Cost: two numbers of one or two bytes in heartbeats and changes.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -112,6 +112,8 @@
     departed: BTreeMap<ids::UpstreamKey, (u64, Duration)>,
     /// When runs said that they leave; they leave whatever their entries say.
     leaving: BTreeMap<ids::UpstreamKey, Duration>,
+    /// Since when what is applied now may have been true; the present without a bound.
+    changed_since: Option<Duration>,
     /// When the store last responded again after an outage.
     store_regained: Option<Duration>,
 }
@@ -122,6 +124,14 @@
         self.upstreams.values()
     }
 
+    /// Sets since when the changes that are applied next may have been true.
+    ///
+    /// An upstream that drains counts from then on, since nobody waits for an instance
+    /// that hears of it late.
+    pub fn set_changed_since(&mut self, since: Option<Duration>) {
+        self.changed_since = since;
+    }
+
     /// Notes that the store responds again after an outage.
     pub fn note_store_regained(&mut self, now: Duration) {
         self.store_regained = Some(now);
@@ -130,6 +140,7 @@
     /// Adds or updates the upstream of an entry.
     pub fn put(&mut self, now: Duration, entry: UpstreamEntry) -> Vec<DirectoryChange> {
         let key = entry.key();
+        let since = self.changed_since.map_or(now, |since| since.min(now));
         let leaving = self.leaving.contains_key(&key);
         let draining = leaving || entry.state == UpstreamState::Draining;
         let mut changes = Vec::new();
@@ -161,7 +172,7 @@
         }
         let upstream = KnownUpstream {
             key,
-            draining_since: draining.then(|| draining_before.unwrap_or(now)),
+            draining_since: draining.then(|| draining_before.unwrap_or(since)),
             missing_since: None,
             warmup_until: now + entry.warmup,
             entry: Arc::new(entry),
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -109,6 +109,8 @@
     /// Whether all items of the store have been read.
     listed: Cell<bool>,
     store_contact: RefCell<relay::StoreContact>,
+    /// Until when no change of the store is missing here.
+    known_until: Cell<Duration>,
     /// Since when neither the store nor a relay tells changes.
     store_lost: Cell<Option<Duration>>,
     /// When the control thread was created.
@@ -144,6 +146,7 @@
             relay_history: RefCell::default(),
             listed: Cell::new(false),
             store_contact: RefCell::new(relay::StoreContact::new(now)),
+            known_until: Cell::new(Duration::ZERO),
             store_lost: Cell::new(None),
             started: now,
             allocator: RefCell::default(),
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -168,6 +168,7 @@
             position,
             instances: self.instances.get() as u32,
             relayed: self.relayed_position(),
+            age: self.now().saturating_sub(self.known_until.get()),
             role,
             probe,
         })
@@ -259,10 +260,11 @@
                 position,
                 instances,
                 relayed,
+                age,
                 role,
                 probe,
             } => {
-                self.note_relay(relayed, sender, role);
+                self.note_relay(relayed, age, sender, role);
                 let position = self.mirror.borrow().resolve(position);
                 self.handle(&service, interface::OwnershipEvent::Superseded { position });
                 let leading = self.leads(&service);
--- a/src/fleet/control/relaying.rs
+++ b/src/fleet/control/relaying.rs
@@ -5,6 +5,7 @@
 use crate::store;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio_util::bytes::Bytes;
 
 impl ControlThread {
@@ -16,12 +17,22 @@
 
     /// Keeps changes that were read after the position `after`, and relays them to all
     /// followers.
-    pub(super) fn relay_changes(&self, after: store::StorePosition, batch: &store::ChangeBatch) {
+    ///
+    /// `age` is the time for which they may have been true.
+    pub(super) fn relay_changes(
+        &self,
+        after: store::StorePosition,
+        age: Duration,
+        batch: &store::ChangeBatch,
+    ) {
         if batch.as_of <= after && batch.changes.is_empty() {
             return;
         }
         self.relay_history.borrow_mut().add(after, batch);
-        self.send_relayed(relay::relayed_changes(after, batch));
+        self.send_relayed(peer::RelayedChanges {
+            age,
+            ..relay::relayed_changes(after, batch)
+        });
     }
 
     /// Tells all followers that the changes up to the mirror's position are not relayed.
@@ -31,7 +42,11 @@
             changes: Vec::new(),
             as_of: self.mirror.borrow().as_of(),
         };
-        self.send_relayed(peer::RelayedChanges { after: None, batch });
+        self.send_relayed(peer::RelayedChanges {
+            after: None,
+            age: Duration::ZERO,
+            batch,
+        });
     }
 
     fn send_relayed(&self, relayed: peer::RelayedChanges) {
@@ -127,8 +142,13 @@
         }
         self.note_store_regained();
         self.relay_history.borrow_mut().add(after, &relayed.batch);
+        let since = match self.relay.borrow().is_overdue() {
+            true => self.known_until.get(),
+            false => now.saturating_sub(relayed.age),
+        };
         let effect = {
             let mut mirror = self.mirror.borrow_mut();
+            mirror.directory.set_changed_since(Some(since));
             let effect = mirror.apply_batch(now, relayed.batch);
             self.relay.borrow_mut().note_known(mirror.as_of());
             effect
@@ -175,6 +195,7 @@
     pub(super) fn note_relay(
         &self,
         relayed: Option<store::StorePosition>,
+        age: Duration,
         sender: SocketAddr,
         role: relay::GroupRole,
     ) {
@@ -186,7 +207,12 @@
         let mut relay = self.relay.borrow_mut();
         match relayed.filter(|position| position.era >= known.era) {
             Some(as_of) => {
-                relay.note_heartbeat(self.now(), as_of, known);
+                let now = self.now();
+                if as_of <= known {
+                    let until = now.saturating_sub(age).max(self.known_until.get());
+                    self.known_until.set(until);
+                }
+                relay.note_heartbeat(now, as_of, known);
                 relay.note_relay(sender, role);
             }
             None => relay.clear(),
--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -46,6 +46,9 @@
 /// Each response shows that the store still responds.
 const RELAY_WATCH_WAIT: Duration = Duration::from_millis(400);
 
+/// Duration of a watch from which on the store is known to have waited for a change.
+const MIN_WAITED_TIME: Duration = Duration::from_millis(60);
+
 /// Wait time of the watches of the configuration, the longest that the store allows.
 ///
 /// Nothing depends on it: a follower also learns from its relay's heartbeats that it
@@ -275,6 +278,11 @@
         let listing = listed?;
         let now = self.now();
         self.note_store_regained();
+        let since = self.known_until.replace(now);
+        self.mirror
+            .borrow_mut()
+            .directory
+            .set_changed_since(Some(since));
         let effect = self.mirror.borrow_mut().apply_listing(now, listing);
         self.apply_effect(effect);
         self.relay_gap();
@@ -286,12 +294,24 @@
         wait: Duration,
     ) -> Result<(), store::StoreError> {
         let after = self.mirror.borrow().as_of();
+        let asked = self.now();
         let watched = self.store.watch(after, wait).await;
         self.count_call(telemetry::StoreCall::Watch, &watched);
         let batch = watched?;
         let now = self.now();
         self.note_store_regained();
-        self.relay_changes(after, &batch);
+        let known_until = self.known_until.replace(now);
+        // The store answers a watch that waits as soon as there is a change.
+        let waited = now >= asked + MIN_WAITED_TIME;
+        let since = match waited && asked <= known_until + MAX_WATCH_PAUSE {
+            true => now,
+            false => known_until,
+        };
+        self.relay_changes(after, now.saturating_sub(since), &batch);
+        self.mirror
+            .borrow_mut()
+            .directory
+            .set_changed_since(Some(since));
         let effect = self.mirror.borrow_mut().apply_batch(now, batch);
         self.apply_effect(effect);
         Ok(())
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -17,6 +17,7 @@
 use prost::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio_util::bytes::Bytes;
 
@@ -65,6 +66,8 @@
         instances: u32,
         /// Position up to which the sender relays the store's changes, if it is a relay.
         relayed: Option<store::StorePosition>,
+        /// Time for which the sender may miss changes after that position.
+        age: Duration,
         /// What the receiver does for its group of the relay's followers.
         role: relay::GroupRole,
         /// Whether the receiver must confirm with a report that it does not lead.
@@ -130,6 +133,8 @@
 pub struct RelayedChanges {
     /// Position that the changes follow; `None` if some are left out.
     pub after: Option<store::StorePosition>,
+    /// Time for which the changes may have been true before they were sent.
+    pub age: Duration,
     pub batch: store::ChangeBatch,
 }
 
--- a/src/fleet/peer/wire.rs
+++ b/src/fleet/peer/wire.rs
@@ -9,6 +9,7 @@
 use crate::ownership::{load, patch, record};
 use crate::store;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio_util::bytes::Bytes;
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -81,6 +82,11 @@
     leaving: Vec<u64>,
 }
 
+/// Returns a duration in milliseconds, at most those that fit.
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 impl From<&load::LoadReport> for WireReport {
     fn from(report: &load::LoadReport) -> WireReport {
         let (counts, latencies) = (&report.counts, &report.latencies);
@@ -141,6 +147,9 @@
     /// Instances for which the receiver does.
     #[prost(message, optional, tag = "8")]
     group: Option<addresses::WireAddresses>,
+    /// Time for which the sender may miss changes after `relayed`.
+    #[prost(uint32, tag = "9")]
+    age_ms: u32,
 }
 
 impl WireHeartbeat {
@@ -241,6 +250,8 @@
     /// Era of both revisions.
     #[prost(uint64, tag = "4")]
     era: u64,
+    #[prost(uint32, tag = "5")]
+    age_ms: u32,
 }
 
 impl From<&store::StoreChange> for WireChange {
@@ -278,6 +289,7 @@
             after: relayed.after.map(|after| after.revision),
             as_of: relayed.batch.as_of.revision,
             era: relayed.batch.as_of.era,
+            age_ms: millis(relayed.age),
             changes: changes.map(WireChange::from).collect(),
         }
     }
@@ -292,6 +304,7 @@
         };
         super::RelayedChanges {
             after: wire.after.map(position),
+            age: Duration::from_millis(wire.age_ms.into()),
             batch: store::ChangeBatch {
                 changes: changes.collect(),
                 as_of: position(wire.as_of),
@@ -322,9 +335,11 @@
                 position,
                 instances,
                 relayed,
+                age,
                 role,
                 probe,
             } => WireContent::Heartbeat(WireHeartbeat {
+                age_ms: millis(*age),
                 revision: position.revision,
                 instances: *instances,
                 relayed: relayed.map(|relayed| relayed.revision),
@@ -411,6 +426,7 @@
                     era: heartbeat.relayed_era,
                     revision,
                 }),
+                age: Duration::from_millis(heartbeat.age_ms.into()),
                 probe: heartbeat.probe,
             },
             WireContent::Record(wire) => super::MessageContent::Record {
--- a/src/fleet/relay.rs
+++ b/src/fleet/relay.rs
@@ -196,6 +196,11 @@
         self.last_heartbeat = None;
     }
 
+    /// Returns whether changes that the relay announced before have not arrived.
+    pub fn is_overdue(&self) -> bool {
+        !self.announced.is_empty()
+    }
+
     fn is_alive(&self, now: Duration) -> bool {
         self.last_heartbeat
             .is_some_and(|at| now < at + RELAY_TIMEOUT)
@@ -302,6 +307,7 @@
         };
         (batch_bytes(&batch) <= MAX_RELAYED_BYTES).then_some(peer::RelayedChanges {
             after: Some(known),
+            age: Duration::ZERO,
             batch,
         })
     }
@@ -368,10 +374,12 @@
     match batch_bytes(&batch) <= MAX_RELAYED_BYTES {
         true => peer::RelayedChanges {
             after: Some(after),
+            age: Duration::ZERO,
             batch,
         },
         false => peer::RelayedChanges {
             after: None,
+            age: Duration::ZERO,
             batch: store::ChangeBatch {
                 changes: Vec::new(),
                 as_of: batch.as_of,
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -258,6 +258,7 @@
         run: ids::InstanceKey(5),
         name: "gw-0".to_owned(),
         content: MessageContent::Changes(RelayedChanges {
+            age: Duration::from_millis(70),
             after: Some(at(10)),
             batch: ChangeBatch {
                 changes: vec![change("servers/a", 3, 11), deleted],
@@ -485,6 +486,7 @@
         content,
     };
     let heartbeat = |role| MessageContent::Heartbeat {
+        age: Duration::from_millis(450),
         position: at(5),
         instances: 195,
         relayed: Some(at(6)),
