Take one failed call to the store for no outage

What callers saw (suspected, DRAIN): an upstream whose entry is removed without a word, as some leave, got requests for 2.3 s after that (drain time 2 s). Cause: after an outage of the store, missing entries are kept for 2.2 s, since running upstreams need that to register again. Every failed call counted as an outage: one watch whose connection broke, or the first call of a follower that lost its relay. Class: a single observer's own link taken for the state of the store. Change: only if changes may have been missed for 1 s or more, less than in which entries of running upstreams can expire.

--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -55,6 +55,10 @@
 /// misses a change, and without a relay it watches everything.
 const CONFIG_WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// Least time without contact to the store in which entries of running upstreams can
+/// expire; a failed call alone is no outage.
+const MIN_OUTAGE: Duration = Duration::from_millis(1000);
+
 /// Wait time of the watches for changes that the relay left out.
 ///
 /// The changes exist already, but the response may be long; the call's timeout grows
@@ -265,7 +269,9 @@
         };
         let now = self.now();
         let mut mirror = self.mirror.borrow_mut();
-        mirror.directory.note_store_regained(now);
+        if now >= self.known_until.get() + MIN_OUTAGE {
+            mirror.directory.note_store_regained(now);
+        }
         self.context.log.emit(&events::StoreRegained {
             after_ms: now.saturating_sub(since).as_millis() as u64,
             as_of: mirror.as_of().revision,
