Close a connection between instances that has gone silent, and open another

What callers saw (suspected): an instance behind a silent connection got no change of the store for about 1.2 s each time, and no announced ownership record at all, so that its requests went to former owners or were refused. Cause: connections between instances had neither keepalive nor a time for unacknowledged bytes; an open connection may go silent for good without a reset. Records and the answers to asks travel on the same connection, so that its loss hid itself. Class: knowledge that is lost on the way and not missed. Change: TCP_USER_TIMEOUT of 1.5 s, which also bounds the probes, and keepalive after 1 s.

--- a/src/peer_connections.rs
+++ b/src/peer_connections.rs
@@ -11,6 +11,7 @@
 use async_io::Async;
 use futures_lite::StreamExt;
 use futures_util::SinkExt;
+use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -30,10 +31,23 @@
 /// Time allowed to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a peer may leave sent bytes unacknowledged, or the connection idle
+/// without an answer to a probe, until the connection is closed and opened anew.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Idle time before a keepalive probe.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
 type FrameSocket = Framed<Compat<Async<TcpStream>>, LengthDelimitedCodec>;
 
 fn frame_socket(io: Async<TcpStream>) -> FrameSocket {
     let _ = io.get_ref().set_nodelay(true);
+    let socket = SockRef::from(io.get_ref());
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_IDLE);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(wire::MAX_FRAME_BYTES)
         .new_codec();
