Pass requests on through other instances while this one reaches no upstream

Cause: an instance knew no way to an upstream but its own link, did not tell a cut of its own links from upstreams that are gone, and went on leading. Class: a single observer's own links taken for the state of the others. Change: a silence of all upstreams, or failed connects at several, is a suspicion; new connections to a few random ones decide, so that slowness is no cut. A stranded leader resigns and does not claim, and takes no refused connection for proof. Ways weighed: turning callers away alone leaves those on open connections, and a zone in which fewer than half are ready, to the stranded instances.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -166,6 +166,7 @@
         self.spawn(Self::pass_on_departures(self.clone()));
         self.spawn(Self::pass_on_crashes(self.clone()));
         self.spawn(Self::exchange_crashes(self.clone()));
+        self.spawn(Self::follow_links(self.clone()));
         async_io::block_on(self.executor.run(stop));
     }
 
@@ -203,6 +204,16 @@
         self.handle_all(|_| interface::OwnershipEvent::Stop);
     }
 
+    /// Tells the ownership cores whether this instance reaches the upstreams.
+    async fn follow_links(this: Rc<Self>) {
+        loop {
+            let changed = this.context.links_changed.listen();
+            let stranded = this.context.links.is_stranded();
+            this.handle_all(|_| interface::OwnershipEvent::LinksChanged { stranded });
+            changed.await;
+        }
+    }
+
     /// Returns whether no service is led or claimed any more.
     pub fn is_finished(&self) -> bool {
         let services = self.services.borrow();
--- a/src/fleet/control/limits.rs
+++ b/src/fleet/control/limits.rs
@@ -3,6 +3,7 @@
 
 use super::ControlThread;
 use crate::fleet::{events, followers, peer};
+use crate::gateway::passing;
 use crate::ids;
 use crate::limits::{self, allocator, members, table};
 use crate::store;
@@ -176,6 +177,10 @@
             instances: list.addresses.len(),
         });
         control.members = Some(list);
+        drop(services);
+        let others = self.other_members();
+        let helpers = others.into_iter().map(passing::helper_address);
+        self.context.helpers.store(Arc::new(helpers.collect()));
     }
 
     /// Notes what a follower's report says of the list of instances.
--- a/src/fleet/daemon.rs
+++ b/src/fleet/daemon.rs
@@ -44,6 +44,8 @@
     pub metrics: SocketAddr,
     /// Address for messages between instances, TCP and UDP.
     pub peers: SocketAddr,
+    /// Address for requests that other instances pass on.
+    pub helpers: SocketAddr,
     pub store: SocketAddr,
     pub traffic_threads: usize,
     /// Longest duration of a graceful stop; shorter than the platform's grace period,
@@ -97,6 +99,7 @@
         source,
     })?;
     let peer_listener = listen("peer port", settings.peers)?;
+    let helper_listener = listen("port for passed-on requests", settings.helpers)?;
     let run = control::generate_run(&settings.name);
     log.emit(&events::Started {
         zone: settings.zone.clone(),
@@ -130,7 +133,8 @@
         platform.schema,
         Async::new(peer_socket)?,
     );
-    thread::start(&context, &callers, settings.traffic_threads)?;
+    let count = settings.traffic_threads;
+    thread::start(&context, &callers, &helper_listener, count)?;
     for listener in [ready, metrics_listener] {
         serve_pages(&control, Async::new(listener)?, &settings.ready_path);
     }
--- a/src/fleet/events.rs
+++ b/src/fleet/events.rs
@@ -171,6 +171,10 @@
         }
     }
 }
+state_event! {
+    /// The instance reaches no upstream any more, or does again.
+    LinksChanged, "links", { stranded: bool }
+}
 state_event! {
     /// The instances changed among which limits are divided.
     MembersChanged, "limit-members", { service: String, era: u64, revision: u64, sequence: u64, instances: usize }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,7 +2,9 @@
 
 use crate::event_log;
 use crate::fleet::events;
-use crate::gateway::{caller, context, exchange, pools, progress, response, retry_delay, view};
+use crate::gateway::{
+    caller, context, exchange, passing, pools, progress, response, retry_delay, view,
+};
 use crate::limits;
 use crate::notices;
 use crate::outcome;
@@ -10,6 +12,7 @@
 use crate::timer;
 use futures_lite::future;
 use serde::Serialize;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -70,12 +73,18 @@
 pub struct AttemptRunner {
     pub(super) context: Arc<context::GatewayContext>,
     pub(super) pools: Rc<pools::PoolSet>,
+    /// Instances to which requests are passed on.
+    pub(super) helpers: passing::HelperSet,
 }
 
 impl AttemptRunner {
     /// Creates the runner of a traffic thread.
     pub fn new(context: Arc<context::GatewayContext>, pools: Rc<pools::PoolSet>) -> AttemptRunner {
-        AttemptRunner { context, pools }
+        AttemptRunner {
+            context,
+            pools,
+            helpers: passing::HelperSet::default(),
+        }
     }
 
     /// Forwards one request and returns the response for the caller.
@@ -94,7 +103,11 @@
             }
         };
         let mut progress = progress::AttemptProgress::default();
-        let result = self.run_attempts(&routed, &mut progress).await;
+        let taken = request.passed_on.then(|| self.take_passed_on());
+        let result = match taken {
+            Some(None) => Err(response::RefusalReason::Overloaded),
+            Some(Some(_)) | None => self.run_attempts(&routed, &mut progress).await,
+        };
         let (response, reason) = match result {
             Ok(response) => {
                 let forwarded = response::CallerResponse::forwarded(response, &request.head.method);
@@ -109,10 +122,15 @@
                 };
                 let delay = (reason.status() == 503)
                     .then(|| retry_delay::retry_delay(&refused, fastrand::f64()));
-                (
-                    response::CallerResponse::refusal(reason, delay),
-                    Some(reason),
-                )
+                let refusal = response::CallerResponse::refusal(reason, delay);
+                let refusal = match request.passed_on {
+                    true => {
+                        let names = &self.context.header_names;
+                        refusal.for_passed_on(names, routed.request_id, reason)
+                    }
+                    false => refusal,
+                };
+                (refusal, Some(reason))
             }
         };
         self.report(&routed, &response, reason, &progress.traces);
@@ -175,7 +193,9 @@
                 Some(key.ok_or(response::RefusalReason::BadKey)?)
             }
         };
-        if let (Some(spec), Some(key)) = (spec, key) {
+        // The instance that makes the attempts counts the request.
+        let passes_on = self.context.links.is_stranded() && !request.passed_on;
+        if let (Some(spec), Some(key), false) = (spec, key, passes_on) {
             self.context.count_request(spec, key);
         }
         let time_left_ms = head.fields.get(self.context.header_names.time_left_ms);
@@ -186,7 +206,9 @@
             rule.timeout
         };
         let timeout = time_left_ms.map_or(timeout, |ms| Duration::from_millis(ms).min(timeout));
-        self.context.retry_budget(&service).deposit();
+        if !passes_on {
+            self.context.retry_budget(&service).deposit();
+        }
         Ok(RoutedRequest {
             request,
             rule: rule.clone(),
@@ -209,6 +231,12 @@
                 timer::within(MAX_OWNER_CHANGE_WAIT, view_changed).await;
             }
             let view_changed = self.context.view_changed.listen();
+            if self.context.links.is_stranded() {
+                return match routed.request.passed_on {
+                    true => progress.give_up(response::RefusalReason::Stranded),
+                    false => self.pass_on(routed, progress).await,
+                };
+            }
             let permit = match self.reserve(routed, progress).await {
                 Ok(permit) => permit,
                 Err(reason) => return progress.give_up(reason),
@@ -252,33 +280,14 @@
     ) -> progress::FinishedAttempt {
         let pool = permit.pool();
         let started = Instant::now();
-        let outgoing = exchange::OutgoingRequest {
-            head: &routed.request.head,
-            body: &routed.request.body,
-            request_id: routed.request_id,
-            used_connections: &progress.connections,
-            deadline: routed.deadline,
-            slack: TIMEOUT_SLACK,
-        };
+        let outgoing = self.outgoing(routed, progress, None);
         let sent = self.context.clock.now();
-        // A stopping process must still answer the caller before it ends.
-        let stop = self.context.end_attempts.listen();
-        let ended = async {
-            stop.await;
-            exchange::FinishedExchange {
-                result: Err(exchange::ExchangeError::Timeout),
-                statement: None,
-                notice: notices::UpstreamNotice::default(),
-                connection: None,
-            }
-        };
-        let exchange = exchange::exchange(pool, &self.context.header_names, &outgoing);
         let exchange::FinishedExchange {
             result,
             statement,
             notice,
             connection,
-        } = future::or(exchange, ended).await;
+        } = self.run_exchange(pool, &outgoing).await;
         let elapsed = started.elapsed();
         let result = self.note_survival(routed, pool, result).await;
         let upstream = pool.view.borrow().clone();
@@ -304,6 +313,45 @@
         }
     }
 
+    /// Returns the request as it is sent, to another instance if `passed_on` is given.
+    pub(super) fn outgoing<'a>(
+        &self,
+        routed: &'a RoutedRequest<'_>,
+        progress: &'a progress::AttemptProgress,
+        passed_on: Option<IpAddr>,
+    ) -> exchange::OutgoingRequest<'a> {
+        exchange::OutgoingRequest {
+            head: &routed.request.head,
+            body: &routed.request.body,
+            request_id: routed.request_id,
+            used_connections: &progress.connections,
+            passed_on,
+            deadline: routed.deadline,
+            slack: TIMEOUT_SLACK,
+        }
+    }
+
+    /// Exchanges a request, at most until a graceful stop awaits no more responses.
+    pub(super) async fn run_exchange(
+        &self,
+        pool: &Rc<pools::UpstreamPool>,
+        outgoing: &exchange::OutgoingRequest<'_>,
+    ) -> exchange::FinishedExchange {
+        // A stopping process must still answer the caller before it ends.
+        let stop = self.context.end_attempts.listen();
+        let ended = async {
+            stop.await;
+            exchange::FinishedExchange {
+                result: Err(exchange::ExchangeError::Timeout),
+                statement: None,
+                notice: notices::UpstreamNotice::default(),
+                connection: None,
+            }
+        };
+        let exchange = exchange::exchange(pool, &self.context.header_names, outgoing);
+        future::or(exchange, ended).await
+    }
+
     /// Applies what responses say of their upstream; `answered` if it took the request.
     fn apply_notice(
         &self,
@@ -478,7 +526,7 @@
 }
 
 /// Returns the reason for the refusal after the last attempt ended with `error`.
-fn refusal_reason(error: &exchange::ExchangeError) -> response::RefusalReason {
+pub(super) fn refusal_reason(error: &exchange::ExchangeError) -> response::RefusalReason {
     match (error, error.outcome()) {
         (exchange::ExchangeError::Timeout, _) => response::RefusalReason::Expired,
         (_, outcome::Outcome::NotRun) => response::RefusalReason::Refused,
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -6,7 +6,7 @@
 //! requests.
 
 use crate::event_log;
-use crate::gateway::{attempts, context, response};
+use crate::gateway::{attempts, context, passing, response};
 use crate::h1;
 use crate::h1::{head, reader, socket};
 use crate::routing;
@@ -40,6 +40,14 @@
 /// read after the last response, so that no reset destroys that response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Whose requests a connection carries.
+#[derive(Clone, Copy, Debug)]
+pub enum RequestOrigin {
+    Caller(IpAddr),
+    /// Another instance, which passes on those of its callers.
+    Instance(IpAddr),
+}
+
 /// One whole request.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -47,6 +55,8 @@
     pub body: Bytes,
     /// Address of the caller.
     pub caller: IpAddr,
+    /// Whether another instance passed the request on.
+    pub passed_on: bool,
     /// When the head was complete.
     pub arrived: Instant,
 }
@@ -89,8 +99,7 @@
     context: Arc<context::GatewayContext>,
     runner: Rc<attempts::AttemptRunner>,
     socket: socket::SharedSocket,
-    /// Address of the caller.
-    caller: IpAddr,
+    origin: RequestOrigin,
 }
 
 impl CallerConnection {
@@ -99,13 +108,13 @@
         context: Arc<context::GatewayContext>,
         runner: Rc<attempts::AttemptRunner>,
         socket: socket::SharedSocket,
-        caller: IpAddr,
+        origin: RequestOrigin,
     ) -> CallerConnection {
         CallerConnection {
             context,
             runner,
             socket,
-            caller,
+            origin,
         }
     }
 
@@ -220,7 +229,7 @@
     fn read(&self, reader: reader::MessageReader) -> ReadFuture {
         let context = self.context.clone();
         let limits = self.limits();
-        Box::pin(read_request(context, self.caller, limits, reader))
+        Box::pin(read_request(context, self.origin, limits, reader))
     }
 }
 
@@ -249,12 +258,12 @@
 
 async fn read_request(
     context: Arc<context::GatewayContext>,
-    caller: IpAddr,
+    origin: RequestOrigin,
     limits: routing::CallerLimits,
     mut reader: reader::MessageReader,
 ) -> (reader::MessageReader, ReadResult) {
     let result = match await_request(&context, limits, &mut reader).await {
-        Ok(()) => match read_head_and_body(caller, limits, &mut reader).await {
+        Ok(()) => match read_head_and_body(origin, limits, &mut reader).await {
             Ok(request) => ReadResult::Request(Box::new(request)),
             Err(error) => classify_error(error),
         },
@@ -297,7 +306,7 @@
 }
 
 async fn read_head_and_body(
-    caller: IpAddr,
+    origin: RequestOrigin,
     limits: routing::CallerLimits,
     reader: &mut reader::MessageReader,
 ) -> Result<CallerRequest, RequestError> {
@@ -319,10 +328,21 @@
     let body = body
         .ok_or(RequestError::Slow)?
         .map_err(RequestError::Read)?;
+    let (caller, passed_on) = match origin {
+        RequestOrigin::Caller(address) => (address, false),
+        RequestOrigin::Instance(address) => {
+            let caller = head.fields.get(passing::CALLER_FIELD);
+            (
+                caller.and_then(passing::parse_caller).unwrap_or(address),
+                true,
+            )
+        }
+    };
     Ok(CallerRequest {
         head,
         body,
         caller,
+        passed_on,
         arrived,
     })
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -3,7 +3,8 @@
 use crate::budget;
 use crate::clock;
 use crate::event_log;
-use crate::gateway::{header_names, view};
+use crate::fleet::events;
+use crate::gateway::{header_names, links, view};
 use crate::ids;
 use crate::limits::table;
 use crate::metrics;
@@ -13,6 +14,7 @@
 use arc_swap::ArcSwap;
 use event_listener::Event;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
@@ -53,6 +55,12 @@
     pub pauses: pauses::PauseTable,
     /// Requests under which upstreams ended.
     pub crashes: crashes::CrashTable,
+    /// Whether this instance reaches the upstreams.
+    pub links: links::LinkState,
+    /// Addresses at which the other live instances take requests.
+    pub helpers: ArcSwap<Vec<SocketAddr>>,
+    /// Requests that were taken from other instances and have no response yet.
+    pub taken: AtomicUsize,
     /// Requests that were read and have no response yet.
     pub in_flight: AtomicUsize,
     stopping_since: OnceLock<Instant>,
@@ -60,6 +68,8 @@
     pub close_idle: Event,
     /// Notified when no response of an upstream is awaited any more.
     pub end_attempts: Event,
+    /// Notified when the instance loses its links to the upstreams, or has them again.
+    pub links_changed: Event,
     retry_budgets: Mutex<HashMap<Arc<str>, Arc<budget::RetryBudget>>>,
     tallies: Mutex<HashMap<Arc<str>, LoadTally>>,
 }
@@ -127,10 +137,14 @@
             departures: departures::DepartureTable::default(),
             pauses: pauses::PauseTable::default(),
             crashes: crashes::CrashTable::default(),
+            links: links::LinkState::default(),
+            helpers: ArcSwap::default(),
+            taken: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
             stopping_since: OnceLock::new(),
             close_idle: Event::new(),
             end_attempts: Event::new(),
+            links_changed: Event::new(),
             retry_budgets: Mutex::default(),
             tallies: Mutex::default(),
         }
@@ -149,6 +163,13 @@
         self.view_changed.notify(usize::MAX);
     }
 
+    /// Wakes whoever waits for an upstream, and tells the control thread.
+    pub fn note_links_changed(&self, stranded: bool) {
+        self.log.emit(&events::LinksChanged { stranded });
+        self.view_changed.notify(usize::MAX);
+        self.links_changed.notify(usize::MAX);
+    }
+
     /// Starts the graceful stop; further calls change nothing.
     pub fn begin_stop(&self) {
         self.stopping_since.get_or_init(Instant::now);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One exchange with one upstream: sends a request and reads the whole response.
 
-use crate::gateway::{header_names, pools, response};
+use crate::gateway::{header_names, passing, pools, response};
 use crate::h1;
 use crate::h1::{head, reader, socket};
 use crate::limits;
@@ -12,7 +12,7 @@
 use futures_lite::future;
 use std::cell::Cell;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -114,6 +114,8 @@
     ///
     /// A copy of the earlier response could not be told from the response to this attempt.
     pub used_connections: &'a [reader::ConnectionNumber],
+    /// Caller of a request that is sent to another instance instead of an upstream.
+    pub passed_on: Option<IpAddr>,
     pub deadline: Instant,
     /// Time after the deadline for which the upstream's own response is still awaited.
     pub slack: Duration,
@@ -129,6 +131,7 @@
         let replaced = [
             names.time_left_ms,
             names.expected_upstream,
+            passing::CALLER_FIELD,
             "content-length",
             "expect",
         ];
@@ -140,11 +143,16 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let left = left.saturating_sub(DEADLINE_MARGIN).as_millis().max(1);
         response::push_field(&mut bytes, names.time_left_ms, format_args!("{left}"));
-        response::push_field(
-            &mut bytes,
-            names.expected_upstream,
-            format_args!("{upstream}"),
-        );
+        match self.passed_on {
+            Some(caller) => {
+                response::push_field(&mut bytes, passing::CALLER_FIELD, format_args!("{caller}"));
+            }
+            None => response::push_field(
+                &mut bytes,
+                names.expected_upstream,
+                format_args!("{upstream}"),
+            ),
+        }
         let bodyless = matches!(self.head.method.as_str(), "GET" | "HEAD" | "DELETE");
         if !self.body.is_empty() || !bodyless {
             let length = self.body.len();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!   reservation               waits for an upstream that may get the request
 //!   choice::choose            selects the upstream of an attempt
 //!   exchange::exchange        sends the request and reads the whole response
+//!   passing::HelperSet        other instances, while this one reaches no upstream
 //!   crash_guard               bars requests under which upstreams end
 //! ```
 //!
@@ -20,6 +21,8 @@
 mod crash_guard;
 pub mod exchange;
 pub mod header_names;
+pub mod links;
+pub mod passing;
 pub mod pools;
 pub mod progress;
 mod reservation;
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -30,6 +30,15 @@
 /// Longest ejection time.
 const MAX_EJECTION: Duration = Duration::from_secs(3);
 
+/// Time for which a failed connect counts as a sign of this instance's own links.
+const FAILURE_WINDOW: Duration = Duration::from_millis(1000);
+
+/// Upstreams at which connects must fail in that time, unless there are fewer.
+const SUSPICIOUS_FAILURES: usize = 3;
+
+/// Least silence of all upstreams, while requests wait, that is a sign of them.
+const MIN_SUSPICIOUS_SILENCE: Duration = Duration::from_millis(300);
+
 /// Latency assumed before the first response, in seconds.
 const INITIAL_LATENCY_S: f64 = 0.1;
 
@@ -52,6 +61,8 @@
     connect_failures: u32,
     /// End of the ejection after the last failed connect.
     ejected_until: Option<Instant>,
+    /// When the last connect failed.
+    connect_failed_at: Option<Instant>,
     /// Whether another upstream responded at the address; ejects this one for good.
     misdirected: bool,
 }
@@ -100,6 +111,7 @@
                 last_sample: Instant::now(),
                 connect_failures: 0,
                 ejected_until: None,
+                connect_failed_at: None,
                 misdirected: false,
             }),
             freed: Event::new(),
@@ -206,7 +218,9 @@
         let mut state = self.state.borrow_mut();
         let ejection = FIRST_EJECTION * 2u32.pow(state.connect_failures.min(4));
         state.connect_failures += 1;
-        state.ejected_until = Some(Instant::now() + ejection.min(MAX_EJECTION));
+        let now = Instant::now();
+        state.connect_failed_at = Some(now);
+        state.ejected_until = Some(now + ejection.min(MAX_EJECTION));
         state.idle.clear();
     }
 
@@ -244,6 +258,36 @@
         self.any_freed.listen()
     }
 
+    /// Returns whether the attempts of this thread hint that no upstream can be reached.
+    pub fn suspects_links(&self, now: Instant, upstreams: usize) -> bool {
+        let pools = self.pools.borrow();
+        let (mut failures, mut in_flight, mut latency_s) = (0, 0, 0.0_f64);
+        let mut last_sample = None;
+        for pool in pools.values() {
+            let state = pool.state.borrow();
+            let failed_at = state.connect_failed_at;
+            failures += usize::from(failed_at.is_some_and(|at| now < at + FAILURE_WINDOW));
+            in_flight += state.in_flight;
+            last_sample = last_sample.max(Some(state.last_sample));
+            latency_s = latency_s.max(state.latency_s);
+        }
+        let silence = MIN_SUSPICIOUS_SILENCE.max(Duration::from_secs_f64(latency_s.max(0.0) * 1.5));
+        let silent = last_sample.is_some_and(|at| now > at + silence);
+        failures >= SUSPICIOUS_FAILURES.min(upstreams.max(1)) || (in_flight > 0 && silent)
+    }
+
+    /// Returns the pool of a key; creates it with the view that `view` returns.
+    pub fn get_or_create(
+        &self,
+        key: ids::UpstreamKey,
+        view: impl FnOnce() -> Arc<view::UpstreamView>,
+    ) -> Rc<UpstreamPool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(key);
+        pool.or_insert_with(|| Rc::new(UpstreamPool::new(view())))
+            .clone()
+    }
+
     /// Returns the pool of an upstream, updated to `view`.
     pub fn get(&self, view: &Arc<view::UpstreamView>) -> Rc<UpstreamPool> {
         let mut pools = self.pools.borrow_mut();
@@ -266,8 +310,14 @@
 
     /// Drops unused pools of removed upstreams, and closes expired connections of the others.
     pub fn trim(&self, current: &view::GatewayView) {
+        self.retain(|view| current.has_upstream(view.key));
+    }
+
+    /// Drops unused pools that `keeps` does not select, and closes expired connections of
+    /// the others.
+    pub fn retain(&self, keeps: impl Fn(&view::UpstreamView) -> bool) {
         let mut pools = self.pools.borrow_mut();
-        pools.retain(|key, pool| pool.in_flight() > 0 || current.has_upstream(*key));
+        pools.retain(|_, pool| pool.in_flight() > 0 || keeps(&pool.view.borrow()));
         for pool in pools.values() {
             pool.trim();
         }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,6 +1,6 @@
 //! Responses to callers: those of upstreams, and the instance's own refusals.
 
-use crate::gateway::exchange;
+use crate::gateway::{exchange, header_names, passing};
 use crate::h1::head;
 use std::io::Write;
 use std::time::Duration;
@@ -42,6 +42,10 @@
     RateLimited,
     /// The upstreams that may get the request want none for a stated time.
     UpstreamPaused,
+    /// This instance reaches no upstream, and no other that does takes the request.
+    Stranded,
+    /// Another instance, to which this one passed the request on, refused it.
+    HelperRefused,
     /// Upstreams ended under the request when it ran before.
     CrashesUpstreams,
     /// Upstreams refused the request or could not be reached; it did not run.
@@ -70,6 +74,8 @@
             | RefusalReason::RateLimited
             | RefusalReason::UpstreamPaused
             | RefusalReason::CrashesUpstreams
+            | RefusalReason::Stranded
+            | RefusalReason::HelperRefused
             | RefusalReason::Refused
             | RefusalReason::ExpiredUnsent => 503,
             RefusalReason::LostResponse => 502,
@@ -92,6 +98,8 @@
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::RateLimited => "rate-limited",
             RefusalReason::UpstreamPaused => "upstream-paused",
+            RefusalReason::Stranded => "stranded",
+            RefusalReason::HelperRefused => "helper-refused",
             RefusalReason::CrashesUpstreams => "crashes-upstreams",
             RefusalReason::Refused => "refused",
             RefusalReason::ExpiredUnsent => "expired-unsent",
@@ -155,6 +163,31 @@
         }
     }
 
+    /// Adds what another instance must know that passed the request on.
+    ///
+    /// Only a refusal lacks the ID of its request.
+    pub fn for_passed_on(
+        mut self,
+        names: &header_names::HeaderNames,
+        request_id: Option<&str>,
+        reason: RefusalReason,
+    ) -> CallerResponse {
+        if let Some(id) = request_id {
+            push_field(&mut self.head, names.request_id, format_args!("{id}"));
+        }
+        if reason.status() == 503 {
+            push_field(&mut self.head, names.not_run, format_args!("1"));
+        }
+        if reason == RefusalReason::Stranded {
+            let head = status_line(passing::STRANDED_STATUS);
+            let fields = self.head.iter().position(|byte| *byte == b'\n');
+            let fields = fields.map_or(0, |end| end + 1);
+            self.head.splice(..fields, head);
+            self.status = passing::STRANDED_STATUS;
+        }
+        self
+    }
+
     /// Creates the response that passes on an upstream's response to `method`.
     pub fn forwarded(response: exchange::UpstreamResponse, method: &str) -> CallerResponse {
         let status = response.head.status;
--- a/src/gateway/retry_delay.rs
+++ b/src/gateway/retry_delay.rs
@@ -51,7 +51,9 @@
             MIN_NO_OWNER_DELAY.max(refused.objective.mul_f64(share))
         }
         (
-            response::RefusalReason::RateLimited | response::RefusalReason::UpstreamPaused,
+            response::RefusalReason::RateLimited
+            | response::RefusalReason::UpstreamPaused
+            | response::RefusalReason::HelperRefused,
             Some(turn),
         ) => turn.delay(max),
         // It cannot be served while its caller waits.
--- a/src/gateway/thread.rs
+++ b/src/gateway/thread.rs
@@ -3,7 +3,7 @@
 //! All threads accept from one listening socket; each has its own executor and
 //! its own connections to upstreams.
 
-use crate::gateway::{attempts, caller, context, pools};
+use crate::gateway::{attempts, caller, context, links, pools};
 use crate::h1::socket;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -20,40 +20,60 @@
 /// Interval at which expired connections to upstreams are closed.
 const TRIM_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Starts `count` traffic threads on a listening socket; they run until the process ends.
+/// Starts `count` traffic threads on the listening sockets for callers and for requests that
+/// other instances pass on; they run until the process ends.
 pub fn start(
     context: &Arc<context::GatewayContext>,
-    listener: &TcpListener,
+    callers: &TcpListener,
+    helpers: &TcpListener,
     count: usize,
 ) -> io::Result<()> {
     for index in 0..count {
         let context = context.clone();
-        let listener = Async::new(listener.try_clone()?)?;
+        let callers = Async::new(callers.try_clone()?)?;
+        let helpers = Async::new(helpers.try_clone()?)?;
         let builder = thread::Builder::new().name(format!("traffic-{index}"));
-        builder.spawn(move || run(context, &listener))?;
+        builder.spawn(move || run(context, &callers, helpers))?;
     }
     Ok(())
 }
 
-fn run(context: Arc<context::GatewayContext>, listener: &Async<TcpListener>) {
+fn run(
+    context: Arc<context::GatewayContext>,
+    callers: &Async<TcpListener>,
+    helpers: Async<TcpListener>,
+) {
     let executor = Rc::new(LocalExecutor::new());
     let pools = Rc::new(pools::PoolSet::default());
     executor
-        .spawn(trim(context.clone(), pools.clone()))
+        .spawn(links::watch(context.clone(), pools.clone()))
         .detach();
     let runner = Rc::new(attempts::AttemptRunner::new(context.clone(), pools));
-    async_io::block_on(executor.run(accept(&executor, &context, listener, &runner)));
+    executor.spawn(trim(runner.clone())).detach();
+    let accept_passed_on = {
+        let (executor, context, runner) = (executor.clone(), context.clone(), runner.clone());
+        async move {
+            let origin = caller::RequestOrigin::Instance;
+            accept(&executor, &context, &helpers, origin, &runner).await;
+        }
+    };
+    executor.spawn(accept_passed_on).detach();
+    let origin = caller::RequestOrigin::Caller;
+    async_io::block_on(executor.run(accept(&executor, &context, callers, origin, &runner)));
 }
 
 async fn accept(
     executor: &Rc<LocalExecutor<'static>>,
     context: &Arc<context::GatewayContext>,
     listener: &Async<TcpListener>,
+    origin: impl Fn(IpAddr) -> caller::RequestOrigin,
     runner: &Rc<attempts::AttemptRunner>,
 ) {
     loop {
         match listener.accept().await {
-            Ok((io, address)) => spawn_connection(executor, context, io, address.ip(), runner),
+            Ok((io, address)) => {
+                spawn_connection(executor, context, io, origin(address.ip()), runner);
+            }
             Err(error) => {
                 log::warn!("connection cannot be accepted: {error}; raise the limit on open files");
                 Timer::after(ACCEPT_BACKOFF).await;
@@ -66,13 +86,13 @@
     executor: &Rc<LocalExecutor<'static>>,
     context: &Arc<context::GatewayContext>,
     io: Async<TcpStream>,
-    address: IpAddr,
+    origin: caller::RequestOrigin,
     runner: &Rc<attempts::AttemptRunner>,
 ) {
     match socket::configure(io) {
         Ok(socket) => {
             let connection =
-                caller::CallerConnection::new(context.clone(), runner.clone(), socket, address);
+                caller::CallerConnection::new(context.clone(), runner.clone(), socket, origin);
             executor.spawn(connection.serve()).detach();
         }
         Err(error) => {
@@ -81,11 +101,13 @@
     }
 }
 
-async fn trim(context: Arc<context::GatewayContext>, pools: Rc<pools::PoolSet>) {
+async fn trim(runner: Rc<attempts::AttemptRunner>) {
+    let context = &runner.context;
     loop {
         Timer::after(TRIM_INTERVAL).await;
         let view = context.view.load();
-        pools.trim(&view);
+        runner.pools.trim(&view);
+        runner.helpers.trim(&context.helpers.load());
         context.limits.retain(|key| view.has_upstream(*key));
         let now = context.clock.now();
         context.departures.trim(now, |key| view.has_upstream(key));
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -76,6 +76,21 @@
 }
 
 impl GatewayView {
+    /// Returns the addresses of all upstreams that do not leave.
+    pub fn upstream_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let upstreams = self
+            .services
+            .values()
+            .flat_map(|service| &service.upstreams);
+        let staying = upstreams.filter(|upstream| upstream.draining_since.is_none());
+        staying.map(|upstream| upstream.address)
+    }
+
+    /// Returns the number of upstreams that do not leave.
+    pub fn upstream_count(&self) -> usize {
+        self.upstream_addresses().count()
+    }
+
     /// Returns whether an upstream is registered, of any service.
     pub fn has_upstream(&self, key: ids::UpstreamKey) -> bool {
         let mut services = self.services.values();
--- a/src/ownership/core.rs
+++ b/src/ownership/core.rs
@@ -77,6 +77,8 @@
     /// Writes of this run so far.
     write_count: u64,
     stopping: bool,
+    /// Whether this instance reaches no upstream, as far as it knows.
+    stranded: bool,
     /// Decisions of the current step, to be reported.
     decisions: Vec<interface::OwnershipDecision>,
     /// Whether there are changes that were not announced yet.
@@ -114,6 +116,7 @@
             vacant_since: None,
             write_count: 0,
             stopping: false,
+            stranded: false,
             decisions: Vec::new(),
             unannounced: false,
             announced_at: Duration::ZERO,
@@ -242,6 +245,7 @@
                 }
             }
             interface::OwnershipEvent::Stop => self.stopping = true,
+            interface::OwnershipEvent::LinksChanged { stranded } => self.stranded = stranded,
             interface::OwnershipEvent::Tick => {}
         }
         self.advance(now, &mut actions);
@@ -379,7 +383,7 @@
         if self.is_held(now) {
             return;
         }
-        let resigns = self.stopping && self.may_resign(now);
+        let resigns = self.leaves_leadership() && self.may_resign(now);
         if !self.is_resigning() && !resigns {
             self.send_grants(now, actions);
             self.send_releases(now, actions);
@@ -387,6 +391,11 @@
         self.commit(now, actions);
     }
 
+    /// Returns whether this instance hands leadership over as soon as it can.
+    fn leaves_leadership(&self) -> bool {
+        self.stopping || self.stranded
+    }
+
     /// Returns whether nothing is granted yet, since the record may lack lost moves.
     fn is_held(&self, now: Duration) -> bool {
         match &self.state {
--- a/src/ownership/core/calls.rs
+++ b/src/ownership/core/calls.rs
@@ -103,6 +103,8 @@
         result: interface::ReleaseResult,
     ) {
         let registered = self.candidates.get(former.key).is_some();
+        // A connection that this instance's own links refuse proves nothing.
+        let proves = !self.stranded;
         let Some(assignment) = self.assignment_mut(range) else {
             return;
         };
@@ -124,7 +126,7 @@
                 release.status = assignment::ReleaseStatus::Ended;
             }
             interface::ReleaseResult::ConnectionRefused => {
-                release.note_failure(now, true, registered)
+                release.note_failure(now, proves, registered)
             }
         }
     }
--- a/src/ownership/core/election.rs
+++ b/src/ownership/core/election.rs
@@ -281,7 +281,7 @@
         actions: &mut Vec<interface::OwnershipAction>,
     ) {
         let has_upstreams = self.candidates.usable().next().is_some();
-        if !self.is_vacant() || !has_upstreams || self.stopping {
+        if !self.is_vacant() || !has_upstreams || self.leaves_leadership() {
             self.claim_at = None;
             self.vacant_since = None;
             return;
--- a/src/ownership/core/plan.rs
+++ b/src/ownership/core/plan.rs
@@ -68,7 +68,7 @@
             .assignments
             .iter()
             .any(assignment::AssignmentState::is_busy);
-        if self.stopping {
+        if self.leaves_leadership() {
             let ready = !busy && self.may_resign(now);
             return ready.then(|| self.pending_commit(now, self.assignments.clone(), true));
         }
--- a/src/ownership/interface.rs
+++ b/src/ownership/interface.rs
@@ -146,6 +146,10 @@
     },
     /// The instance begins a graceful stop.
     Stop,
+    /// The instance reaches no upstream any more, or does again.
+    LinksChanged {
+        stranded: bool,
+    },
     Tick,
 }
 
