--- a/tests/ownership_core/grants.rs
+++ b/tests/ownership_core/grants.rs
@@ -383,3 +383,49 @@
         );
     }
 }
+
+/// Regression test: a partitioned leader took the connections that its own links refused for
+/// the end of each owner, and two upstreams owned the same keys.
+#[test]
+fn connections_that_a_stranded_leader_is_refused_prove_no_end() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.run(Duration::from_secs(2));
+    driver.releases_end = false;
+    let only = candidates::CandidateTable::new(vec![candidate(1, false)]);
+    driver.feed(OwnershipEvent::CandidatesUpdated(only));
+    driver.run(TICK * 2);
+    driver.grants.clear();
+    driver.feed(OwnershipEvent::LinksChanged { stranded: true });
+    let begun = driver.now;
+    let mut answered = 0;
+    while driver.now < begun + Duration::from_millis(2500) {
+        for (former, range) in driver.releases.split_off(answered) {
+            driver.feed(OwnershipEvent::ReleaseFinished {
+                range,
+                former,
+                result: ReleaseResult::ConnectionRefused,
+            });
+        }
+        answered = driver.releases.len();
+        driver.run(TICK);
+    }
+    let lost = candidate(0, false).info.key;
+    let lost_ranges = driver.last_record().assignments.iter();
+    let lost_ranges: Vec<_> = lost_ranges
+        .filter(|assignment| {
+            let mut former = assignment.former_owners.iter();
+            former.any(|former| former.key == lost)
+        })
+        .collect();
+    assert!(
+        !lost_ranges.is_empty(),
+        "the record still names its former owner"
+    );
+    for grant in &driver.grants {
+        let moved = lost_ranges
+            .iter()
+            .any(|lost| grant.range.overlaps(&lost.range));
+        assert!(!moved, "{:?} was granted without a proof", grant.range);
+    }
+}
--- a/tests/ownership_core/leadership.rs
+++ b/tests/ownership_core/leadership.rs
@@ -270,3 +270,28 @@
         "an earlier upstream at the address proves nothing"
     );
 }
+
+/// It grants nothing to anybody, and its grants would expire.
+#[test]
+fn a_leader_that_reaches_no_upstream_resigns_and_claims_nothing() {
+    let mut driver = Driver::new("gw-0", 1);
+    driver.lead(None);
+    driver.feed(OwnershipEvent::LinksChanged { stranded: true });
+    driver.run(TICK * 3);
+    let last = driver.commits.last().expect("a record was written");
+    assert!(last.resign && last.record.resigned);
+    assert!(driver.core.is_following());
+    let record = last.record.clone();
+    driver.revision += 1;
+    let vacant = StoreView {
+        leader: None,
+        record: Some((record, driver.revision)),
+        as_of: at(driver.revision),
+    };
+    driver.feed(OwnershipEvent::StoreUpdated(vacant));
+    driver.run(Duration::from_secs(5));
+    assert!(driver.core.is_following(), "others reach the upstreams");
+    driver.feed(OwnershipEvent::LinksChanged { stranded: false });
+    driver.run(Duration::from_secs(2));
+    assert!(driver.core.is_leading(), "it reaches them again");
+}
