--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -99,7 +99,7 @@
                     request.arrived.elapsed(),
                 );
                 self.context.metrics.record_refusal("", reason.as_str());
-                return response::CallerResponse::refusal(reason, Some(UNROUTED_RETRY_AFTER));
+                return self.refuse(request, reason, Some(UNROUTED_RETRY_AFTER));
             }
         };
         let mut progress = progress::AttemptProgress::default();
@@ -122,21 +122,30 @@
                 };
                 let delay = (reason.status() == 503)
                     .then(|| retry_delay::retry_delay(&refused, fastrand::f64()));
-                let refusal = response::CallerResponse::refusal(reason, delay);
-                let refusal = match request.passed_on {
-                    true => {
-                        let names = &self.context.header_names;
-                        refusal.for_passed_on(names, routed.request_id, reason)
-                    }
-                    false => refusal,
-                };
-                (refusal, Some(reason))
+                (self.refuse(request, reason, delay), Some(reason))
             }
         };
         self.report(&routed, &response, reason, &progress.traces);
         response
     }
 
+    /// Returns the refusal of a request, as its caller or the instance that passed it on
+    /// needs it.
+    fn refuse(
+        &self,
+        request: &caller::CallerRequest,
+        reason: response::RefusalReason,
+        retry_after: Option<Duration>,
+    ) -> response::CallerResponse {
+        let refusal = response::CallerResponse::refusal(reason, retry_after);
+        if !request.passed_on {
+            return refusal;
+        }
+        let names = &self.context.header_names;
+        let request_id = request.head.fields.get(names.request_id);
+        refusal.for_passed_on(names, request_id, reason)
+    }
+
     /// Counts the request in the metrics, and logs it unless it was a plain success.
     fn report(
         &self,
--- a/tests/stranded.rs
+++ b/tests/stranded.rs
@@ -11,6 +11,7 @@
 use godwitloom::routing::{
     CallerLimits, RequestKind, RouteRule, RoutingConfig, ServiceShare, ServiceSpec,
 };
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -231,6 +232,57 @@
     (0..4).map(|_| refusing_address()).collect()
 }
 
+/// Returns an address that leaves connections without an answer, as a partition does; its
+/// listener must be kept.
+fn silent_address() -> (SocketAddr, Socket, Vec<Socket>) {
+    let new = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let listener = new();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener
+        .bind(&any.into())
+        .expect("loopback port is available");
+    listener.listen(0).expect("socket listens");
+    let address = listener
+        .local_addr()
+        .ok()
+        .and_then(|found| found.as_socket());
+    let address = address.expect("listener has an address");
+    // Fills its queue.
+    let waiting = (0..3).map(|_| {
+        let socket = new();
+        socket.set_nonblocking(true).expect("option is set");
+        let _ = socket.connect(&address.into());
+        socket
+    });
+    let waiting = waiting.collect();
+    (address, listener, waiting)
+}
+
+#[test]
+fn callers_of_an_instance_whose_links_are_silent_are_served_through_others() {
+    let live = vec![start_upstream(Upstream::default())];
+    let silent: Vec<_> = (0..4).map(|_| silent_address()).collect();
+    let addresses: Vec<_> = silent.iter().map(|(address, ..)| *address).collect();
+    let (stranded, whole) = (Gateway::start(&addresses), Gateway::start(&live));
+    stranded.set_helpers(&[&whole]);
+    stranded.wait_until_stranded();
+    assert_eq!(served(&stranded, "POST", "/unsafe/", 20), 20);
+}
+
+/// The helper knows no such route.
+#[test]
+fn a_helper_refuses_like_the_instance_that_its_caller_asked() {
+    let live = vec![start_upstream(Upstream::default())];
+    let (stranded, whole) = (Gateway::start(&dead_upstreams()), Gateway::start(&live));
+    stranded.set_helpers(&[&whole]);
+    stranded.wait_until_stranded();
+    whole.context.publish(GatewayView::default());
+    for _ in 0..3 {
+        let (status, body) = stranded.send("POST", "/unsafe/", "id").expect("an answer");
+        assert_eq!((status, body.as_str()), (503, "helper-refused"));
+    }
+}
+
 #[test]
 fn callers_of_an_instance_without_links_are_served_through_others() {
     let upstream = Upstream::default();
