Remember that an item of the store was deleted, so that nothing older brings it back

Cause: the mirror forgot the revision of an item with its deletion. A listing whose call was under way when the relay told the deletion, or an earlier change that arrived after it, put the entry in again, and no later change took it away: until the next listing the upstream counted as ready. A leader's key could come back in the same way. Class: knowledge of leaving that is overtaken. Change: the revision of a deletion is kept for 60 s, and what is not newer is ignored. Evidence: a_listing_or_change_that_is_older_than_a_removal_brings_no_upstream_back fails before ('brought back by a listing') and passes after.

--- a/src/fleet/mirror.rs
+++ b/src/fleet/mirror.rs
@@ -69,12 +69,19 @@
     }
 }
 
+/// Time for which a deletion is remembered; longer than a call or a message may take.
+const DELETION_RETENTION: Duration = Duration::from_secs(60);
+
 /// What this instance knows of the metadata store.
 pub struct StoreMirror {
     schema: Box<dyn adapters::StoreSchema>,
     log: event_log::EventLog,
     /// Revisions of all known items, by key.
     revisions: HashMap<String, u64>,
+    /// Revisions at which items were deleted, and when that was learned, by key.
+    ///
+    /// A listing or a relayed change that is older than the deletion may arrive after it.
+    deletions: HashMap<String, (u64, Duration)>,
     /// Position up to which the store is known.
     as_of: store::StorePosition,
     pub config: Option<Arc<routing::RoutingConfig>>,
@@ -98,6 +105,7 @@
             schema,
             log,
             revisions: HashMap::new(),
+            deletions: HashMap::new(),
             as_of: store::StorePosition::default(),
             config: None,
             directory: directory::UpstreamDirectory::default(),
@@ -175,6 +183,7 @@
         for revision in self.revisions.values_mut() {
             *revision = 0;
         }
+        self.deletions.clear();
         self.leaders.clear();
     }
 
@@ -294,6 +303,8 @@
 
     /// Removes upstreams that did not register again in time after an outage of the store.
     pub fn expire(&mut self, now: Duration) -> MirrorEffect {
+        self.deletions
+            .retain(|_, (_, deleted_at)| now < *deleted_at + DELETION_RETENTION);
         let changes = self.directory.expire(now);
         let revision = self.as_of.revision;
         self.log_upstream_changes(changes, revision)
@@ -302,9 +313,12 @@
     /// Applies one item if it is newer than what is known of its key.
     pub fn put(&mut self, now: Duration, item: store::StoredItem) -> MirrorEffect {
         let known = self.revisions.get(&item.key).copied().unwrap_or(0);
-        if item.revision <= known {
+        let deleted = self.deletions.get(&item.key);
+        let deleted = deleted.map_or(0, |(revision, _)| *revision);
+        if item.revision <= known.max(deleted) {
             return MirrorEffect::default();
         }
+        self.deletions.remove(&item.key);
         self.revisions.insert(item.key.clone(), item.revision);
         if item.key.starts_with(INSTANCE_PREFIX) {
             return self.put_instance_item(item);
@@ -401,6 +415,7 @@
             return MirrorEffect::default();
         }
         self.revisions.remove(key);
+        self.deletions.insert(key.to_owned(), (revision, now));
         if key.starts_with(INSTANCE_PREFIX) {
             self.leaders.remove(key);
             // What a restored store lacks is still the newest record.
--- a/tests/announcements.rs
+++ b/tests/announcements.rs
@@ -1,5 +1,6 @@
 //! Announced ownership records, their patches, and the relay of the store's changes.
 
+use godwitloom::directory::{UpstreamEntry, UpstreamState};
 use godwitloom::fleet::adapters::{DecodedItem, DeletedKey, StoreSchema};
 use godwitloom::fleet::mirror::{StoreMirror, record_key};
 use godwitloom::fleet::peer::{MessageContent, PeerMessage, RelayedChanges};
@@ -528,3 +529,75 @@
     assert!(!forward.may_be_forwarded());
     assert!(!MessageContent::ChangesAsk { after: at(1) }.may_be_forwarded());
 }
+
+/// Schema of a platform whose items are upstreams that their keys name.
+struct UpstreamSchema;
+
+impl StoreSchema for UpstreamSchema {
+    fn decode(&self, item: &StoredItem) -> DecodedItem {
+        DecodedItem::Upstream(Box::new(UpstreamEntry {
+            id: item.key.as_str().into(),
+            started_ms: 1,
+            service: SERVICE.into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+            zone: "yqr".into(),
+            slots: 4,
+            state: UpstreamState::Ready,
+            sequence: 7,
+            warmup: Duration::ZERO,
+        }))
+    }
+
+    fn classify_deleted<'a>(&self, key: &'a str) -> DeletedKey<'a> {
+        DeletedKey::Upstream(key)
+    }
+}
+
+/// Regression test: an upstream that had left got requests for as long as the instance did
+/// not list the store again.
+#[test]
+fn a_listing_or_change_that_is_older_than_a_removal_brings_no_upstream_back() {
+    let log = event_log::EventLog::start("gw-1");
+    let item = || StoredItem {
+        key: "server-1".to_owned(),
+        value: Bytes::new(),
+        revision: 3,
+    };
+    let put = || ChangeBatch {
+        changes: vec![StoreChange::Put(item())],
+        as_of: at(4),
+    };
+    let deletion = || ChangeBatch {
+        changes: vec![StoreChange::Deleted {
+            key: "server-1".to_owned(),
+            revision: 5,
+        }],
+        as_of: at(5),
+    };
+    let listing = || StoreListing {
+        items: vec![item()],
+        as_of: at(4),
+    };
+    let is_known = |mirror: &StoreMirror| mirror.directory.iter().next().is_some();
+    let mut mirror = StoreMirror::new(Box::new(UpstreamSchema), log.clone());
+    mirror.apply_batch(START, put());
+    assert!(is_known(&mirror));
+    // The relay tells the removal while the call that lists the store is under way.
+    mirror.apply_batch(START, deletion());
+    mirror.apply_listing(START, listing());
+    assert!(!is_known(&mirror), "brought back by a listing");
+    mirror.apply_batch(START, put());
+    assert!(!is_known(&mirror), "brought back by an earlier change");
+    // An instance that has never known it.
+    let mut other = StoreMirror::new(Box::new(UpstreamSchema), log);
+    other.apply_batch(START, deletion());
+    other.apply_listing(START, listing());
+    assert!(!is_known(&other), "added by a listing");
+    let mut later = put();
+    later.changes = vec![StoreChange::Put(StoredItem {
+        revision: 6,
+        ..item()
+    })];
+    mirror.apply_batch(START, later);
+    assert!(is_known(&mirror), "a new entry counts");
+}
