--- a/src/fleet/control/sync.rs
+++ b/src/fleet/control/sync.rs
@@ -57,7 +57,7 @@
 
 /// Least time without contact to the store in which entries of running upstreams can
 /// expire; a failed call alone is no outage.
-const MIN_OUTAGE: Duration = Duration::from_millis(1000);
+const MIN_OUTAGE: Duration = Duration::from_millis(1500);
 
 /// Wait time of the watches for changes that the relay left out.
 ///
