Hold the refusing addresses of a test, so that no other test gets them

Its dead upstreams had addresses of closed listeners, which another test of the same process could get and accept on. A bound socket that does not listen holds each now; listeners are no longer closed and bound again.

--- a/tests/stranded.rs
+++ b/tests/stranded.rs
@@ -39,9 +39,18 @@
     TcpListener::bind(("127.0.0.1", 0)).expect("loopback port is available")
 }
 
-/// Returns an address that refuses connections.
+/// Returns an address that refuses connections until the process ends.
+///
+/// A socket that does not listen holds it, so that no other test gets it.
 fn refusing_address() -> SocketAddr {
-    listen().local_addr().expect("listener has an address")
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket
+        .bind(&any.into())
+        .expect("loopback port is available");
+    let address = socket.local_addr().ok().and_then(|found| found.as_socket());
+    std::mem::forget(socket);
+    address.expect("socket has an address")
 }
 
 /// Starts an upstream that answers with the time that the request had left.
@@ -121,15 +130,14 @@
         let (log, _) = EventLog::with_queue("gw-1");
         let metrics = Arc::new(MetricSet::new());
         let context = GatewayContext::new(names, settings, metrics, log, Arc::new(BootClock));
+        let (callers, helpers) = (Arc::new(listen()), Arc::new(listen()));
+        let address = |listener: &TcpListener| listener.local_addr().expect("it has an address");
         let gateway = Gateway {
             context: Arc::new(context),
-            callers: refusing_address(),
-            helpers: refusing_address(),
+            callers: address(&callers),
+            helpers: address(&helpers),
         };
         gateway.set_upstreams(upstreams);
-        let callers = TcpListener::bind(gateway.callers).expect("address is free");
-        let helpers = TcpListener::bind(gateway.helpers).expect("address is free");
-        let (callers, helpers) = (Arc::new(callers), Arc::new(helpers));
         traffic::start(&gateway.context, &callers, &helpers, 1).expect("threads start");
         gateway
     }
