--- /dev/null
+++ b/review/standins/scenarios.rs
@@ -0,0 +1,507 @@
+//! The scenarios of the cases.
+
+use crate::http::{self, Connection, Message};
+use crate::platform::{self, lock, sleep_ms, Deployment, Endpoint, Record, Run, World};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const HEARTBEAT: Duration = Duration::from_millis(870);
+
+/// A route: prefix, kind, service, timeout and latency objective in milliseconds.
+type Route<'a> = (&'a str, &'a str, &'a str, u64, u64);
+
+fn config(idle_timeout_ms: u64, routes: &[Route], services: &[(&str, bool)]) -> String {
+    let rules = routes.iter().map(|(prefix, kind, service, timeout_ms, target_ms)| {
+        format!(
+            "{{\"name\":\"r{prefix}\",\"kind\":\"{kind}\",\"target_latency_ms\":{target_ms},\
+             \"priority\":1,\"match\":{{\"prefix\":\"{prefix}\"}},\"action\":{{\"service\":\
+             \"{service}\",\"timeout_ms\":{timeout_ms},\"attempts\":2}}}}"
+        )
+    });
+    let clusters = services.iter().map(|(name, sharded)| {
+        format!(
+            "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":120,\
+             \"protocol\":\"h1\",\"tls\":false,\"sharded\":{sharded}}}"
+        )
+    });
+    format!(
+        "{{\"version\":1,\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":{idle_timeout_ms}}},\"listeners\":\
+         [{{\"host\":\"shop.example\",\"rules\":[{}]}}],\"clusters\":[{}]}}",
+        rules.collect::<Vec<_>>().join(","),
+        clusters.collect::<Vec<_>>().join(",")
+    )
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+fn new_id() -> String {
+    format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::AcqRel) + 0x9c41_d07b_0000_0000)
+}
+
+/// A client request.
+struct Request<'a> {
+    method: &'a str,
+    path: &'a str,
+    work_ms: u64,
+    deadline_ms: u64,
+    key: Option<usize>,
+    body: &'a [u8],
+}
+
+fn encode(request: &Request, id: &str) -> Vec<u8> {
+    let start = format!("{} {}?work_ms={} HTTP/1.1", request.method, request.path, request.work_ms);
+    let deadline = request.deadline_ms.to_string();
+    let key = request.key.map(|key| key.to_string());
+    let mut fields = vec![
+        ("Host", "shop.example"),
+        ("Godwitloom-Request-Id", id),
+        ("Godwitloom-Deadline-Ms", &deadline),
+    ];
+    if let Some(key) = &key {
+        fields.push(("Godwitloom-Shard-Key", key));
+    }
+    match request.method {
+        "GET" => {
+            let mut text = format!("{start}\r\n");
+            for (name, value) in fields {
+                text.push_str(&format!("{name}: {value}\r\n"));
+            }
+            text.push_str("\r\n");
+            text.into_bytes()
+        }
+        _ => http::encode(&start, &fields, request.body),
+    }
+}
+
+/// Sends a request and returns its id and its answer.
+fn exchange(
+    world: &World,
+    connection: &mut Connection,
+    request: &Request,
+    wait_ms: u64,
+) -> (String, Result<Message, String>) {
+    let id = new_id();
+    world.record.line(format!("client sends {id} {} work {} ms", request.path, request.work_ms));
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    let sent = connection.write(&encode(request, &id));
+    let answer = sent.and_then(|()| connection.read(until));
+    match &answer {
+        Ok(answer) => world.record.line(format!("client has {} for {id}", answer.status())),
+        Err(error) => world.record.line(format!("client has no answer for {id}: {error}")),
+    }
+    (id, answer)
+}
+
+/// Waits until a request is served at each front.
+fn await_service(deployment: &Deployment, request: &Request) -> bool {
+    let until = Instant::now() + Duration::from_secs(15);
+    deployment.machines.iter().all(|machine| {
+        while Instant::now() < until {
+            let mut connection = match Connection::open(machine.front()) {
+                Ok(connection) => connection,
+                Err(_) => {
+                    sleep_ms(50);
+                    continue;
+                }
+            };
+            let (_, answer) = exchange(&deployment.world, &mut connection, request, 1000);
+            if answer.is_ok_and(|answer| answer.status() == 200) {
+                return true;
+            }
+            sleep_ms(50);
+        }
+        false
+    })
+}
+
+/// Requests take longer than the limit for idle connections, as some endpoints are slow; the
+/// next requests on the same connections are read by nobody.
+pub fn idle(record: &Arc<Record>, trouble: bool) -> i32 {
+    const CONNECTIONS: usize = 78;
+    const ENDPOINTS: usize = 13;
+    const SLOW_ENDPOINTS: usize = 2;
+    const SLOWNESS: u64 = 5;
+    const WORK_MS: u64 = 3_200;
+    const IDLE_MS: u64 = 15_000;
+    const TIMEOUT_MS: u64 = 20_000;
+    let deployment = Deployment::new(record, 3);
+    let world = &deployment.world;
+    let routes = [("/photo/", "upload", "photos", TIMEOUT_MS, 4000)];
+    world.store.put("op/config", &config(IDLE_MS, &routes, &[("photos", false)]));
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|number| {
+            let id = format!("i-{number}");
+            Endpoint::start(world, deployment.endpoint_ip(), &id, "photos", 6, false)
+        })
+        .collect();
+    platform::start_heartbeats(world, HEARTBEAT);
+    deployment.start();
+    let small = Request {
+        method: "POST",
+        path: "/photo/a",
+        work_ms: 5,
+        deadline_ms: 2000,
+        key: None,
+        body: b"p",
+    };
+    if !await_service(&deployment, &small) {
+        record.say("no service");
+        return 2;
+    }
+    if trouble {
+        for endpoint in &endpoints[..SLOW_ENDPOINTS] {
+            endpoint.set_slowness(SLOWNESS);
+        }
+        record.line(format!("{SLOW_ENDPOINTS} endpoints are slow"));
+    }
+    let [long_failed, closed, followed, unanswered] =
+        std::array::from_fn(|_| Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..CONNECTIONS)
+        .map(|number| {
+            let front = deployment.machines[number % 3].front();
+            let world = world.clone();
+            let counters = [&long_failed, &closed, &followed, &unanswered].map(Arc::clone);
+            thread::spawn(move || {
+                let [long_failed, closed, followed, unanswered] = counters;
+                let mut connection = Connection::open(front).expect("connected");
+                let long = Request {
+                    method: "POST",
+                    path: "/photo/long",
+                    work_ms: WORK_MS,
+                    deadline_ms: TIMEOUT_MS,
+                    key: None,
+                    body: b"photo",
+                };
+                let (_, answer) = exchange(&world, &mut connection, &long, TIMEOUT_MS + 500);
+                let Some(answer) = answer.ok().filter(|answer| answer.status() == 200) else {
+                    long_failed.fetch_add(1, Ordering::AcqRel);
+                    return;
+                };
+                sleep_ms(300);
+                let closes = answer.field("connection").is_some_and(|text| text.contains("close"));
+                if closes || connection.is_closed() {
+                    world.record.line("the connection was closed");
+                    closed.fetch_add(1, Ordering::AcqRel);
+                    return;
+                }
+                followed.fetch_add(1, Ordering::AcqRel);
+                let next = Request { path: "/photo/next", work_ms: 5, ..long };
+                let (_, answer) = exchange(&world, &mut connection, &next, TIMEOUT_MS + 500);
+                if answer.is_err_and(|error| error == "no answer") {
+                    unanswered.fetch_add(1, Ordering::AcqRel);
+                }
+            })
+        })
+        .collect();
+    sleep_ms(6_500);
+    for endpoint in &endpoints {
+        endpoint.set_slowness(1);
+    }
+    record.line("no endpoint is slow any more");
+    for client in clients {
+        let _ = client.join();
+    }
+    let [long_failed, closed, followed, unanswered] =
+        [long_failed, closed, followed, unanswered].map(|counter| counter.load(Ordering::Acquire));
+    record.say(format!(
+        "long requests {CONNECTIONS}, of them without success {long_failed}; connections closed \
+         after them {closed}; requests sent after them on the same connections {followed}, of \
+         them without an answer {} ms later {unanswered}",
+        TIMEOUT_MS + 500
+    ));
+    // CONFIG: of the requests that had no answer at the route's timeout, eight or more, and
+    // over a quarter, have none 0.5 s later. All others were answered at once.
+    i32::from(unanswered >= 8)
+}
+
+/// A second answer to a grant arrives late, where the answer to a release is expected.
+pub fn late_extra(record: &Arc<Record>, trouble: bool) -> i32 {
+    const ENDPOINTS: usize = 6;
+    let deployment = Deployment::new(record, 3);
+    let world = &deployment.world;
+    let routes = [("/tag/", "safe", "tags", 2000, 400)];
+    world.store.put("op/config", &config(15_000, &routes, &[("tags", true)]));
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|number| {
+            let id = format!("i-{number}");
+            Endpoint::start(world, deployment.endpoint_ip(), &id, "tags", 6, true)
+        })
+        .collect();
+    platform::start_heartbeats(world, HEARTBEAT);
+    deployment.start();
+    let probe = |key| Request {
+        method: "GET",
+        path: "/tag/a",
+        work_ms: 5,
+        deadline_ms: 2000,
+        key: Some(key),
+        body: b"",
+    };
+    if !await_service(&deployment, &probe(0)) || !await_service(&deployment, &probe(65_535)) {
+        record.say("no service");
+        return 2;
+    }
+    // Steady traffic over all keys: each request takes 300 ms.
+    let stop = Arc::new(AtomicBool::new(false));
+    let counts = Arc::new(Mutex::new([0u64; 2]));
+    let clients: Vec<_> = (0..27u64)
+        .map(|number| {
+            let front = deployment.machines[number as usize % 3].front();
+            let (world, stop, counts) = (world.clone(), stop.clone(), counts.clone());
+            thread::spawn(move || {
+                let mut connection = None;
+                let mut turn = number * 7;
+                while !stop.load(Ordering::Acquire) {
+                    turn += 1;
+                    // Keys spread evenly, in no order.
+                    let mixed = turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (number << 40);
+                    let key = (mixed.wrapping_mul(0xd129_0d3b_5a8c_f2e5) >> 48) as usize;
+                    let work_ms = 300;
+                    let mut open = match connection.take() {
+                        Some(open) => open,
+                        None => match Connection::open(front) {
+                            Ok(open) => open,
+                            Err(_) => continue,
+                        },
+                    };
+                    let request = Request {
+                        method: "GET",
+                        path: "/tag/b",
+                        work_ms,
+                        deadline_ms: 2000,
+                        key: Some(key),
+                        body: b"",
+                    };
+                    let (_, answer) = exchange(&world, &mut open, &request, 2500);
+                    let served = answer.as_ref().is_ok_and(|answer| answer.status() == 200);
+                    lock(&counts)[usize::from(!served)] += 1;
+                    if answer.is_ok() {
+                        connection = Some(open);
+                    }
+                }
+            })
+        })
+        .collect();
+    sleep_ms(2000);
+    // Three of six endpoints leave, one after the other. Each has given a second answer to one
+    // of its answers in the 5 s before.
+    for endpoint in &endpoints[..3] {
+        let (answers_before, _) = endpoint.answers();
+        sleep_ms(3900);
+        if trouble {
+            endpoint.spoil_grants(1);
+        }
+        let until = Instant::now() + Duration::from_millis(1100);
+        while Instant::now() < until && !(trouble && endpoint.has_spoiled()) {
+            sleep_ms(1);
+        }
+        endpoint.drain();
+        let (answers, spoiled) = endpoint.answers();
+        let answers = answers - answers_before;
+        record.say(format!(
+            "{} gave {answers} answers in 5 s, {spoiled} of them with a second one; {} requests \
+             are at work there as it begins to leave",
+            endpoint.id,
+            endpoint.working()
+        ));
+        if spoiled as f64 > answers as f64 * 0.03 {
+            record.say("more than 3 in 100 answers were spoiled");
+            return 2;
+        }
+        sleep_ms(3500);
+    }
+    stop.store(true, Ordering::Release);
+    for client in clients {
+        let _ = client.join();
+    }
+    let [served, failed] = *lock(&counts);
+    let broken = lock(&world.broken).len();
+    record.say(format!("requests served {served}, not served {failed}; OWNER broken {broken} times"));
+    i32::from(broken > 0)
+}
+
+/// A machine gets SIGTERM while requests of one connection are at work behind each other.
+pub fn pipeline_term(record: &Arc<Record>, trouble: bool) -> i32 {
+    const CONNECTIONS: usize = 8;
+    const DEPTH: usize = 3;
+    let deployment = Deployment::new(record, 3);
+    let world = &deployment.world;
+    let routes = [("/read/", "safe", "reads", 1200, 300)];
+    world.store.put("op/config", &config(15_000, &routes, &[("reads", false)]));
+    for number in 0..6 {
+        Endpoint::start(world, deployment.endpoint_ip(), &format!("i-{number}"), "reads", 6, false);
+    }
+    platform::start_heartbeats(world, HEARTBEAT);
+    deployment.start();
+    let small = Request {
+        method: "GET",
+        path: "/read/a",
+        work_ms: 5,
+        deadline_ms: 2000,
+        key: None,
+        body: b"",
+    };
+    if !await_service(&deployment, &small) {
+        record.say("no service");
+        return 2;
+    }
+    let front = deployment.machines[0].front();
+    let sent: Vec<(Connection, Vec<String>)> = (0..CONNECTIONS)
+        .map(|_| {
+            let mut connection = Connection::open(front).expect("connected");
+            let mut ids = Vec::new();
+            let mut bytes = Vec::new();
+            for turn in 0..DEPTH {
+                let id = new_id();
+                let work_ms = 200 + 200 * turn as u64;
+                let request = Request { path: "/read/b", work_ms, deadline_ms: 1200, ..small };
+                bytes.extend(encode(&request, &id));
+                record.line(format!("client sends {id} as number {turn} of a connection"));
+                ids.push(id);
+            }
+            connection.write(&bytes).expect("sent");
+            (connection, ids)
+        })
+        .collect();
+    sleep_ms(100);
+    if trouble {
+        record.line("SIGTERM to edge-1");
+        deployment.machines[0].signal(platform::SIGTERM);
+    }
+    let until = Instant::now() + Duration::from_millis(6000);
+    let mut cut = Vec::new();
+    let mut answered = 0;
+    for (mut connection, ids) in sent {
+        for id in ids {
+            match connection.read(until) {
+                Ok(answer) => {
+                    answered += 1;
+                    let close = answer.field("connection").unwrap_or("");
+                    record.line(format!("client has {} for {id} {close}", answer.status()));
+                }
+                Err(error) => {
+                    record.line(format!("client has no answer for {id}: {error}"));
+                    cut.push(id);
+                }
+            }
+        }
+    }
+    let runs = lock(&world.runs).clone();
+    let passed_on = |id: &&String| runs.iter().any(|run: &Run| run.id == **id);
+    let lost: Vec<_> = cut.iter().filter(passed_on).collect();
+    record.say(format!(
+        "answered {answered}, without an answer {}, of them passed on to an endpoint {}",
+        cut.len(),
+        lost.len()
+    ));
+    i32::from(!lost.is_empty())
+}
+
+/// Uploads within the operator's limit on bodies, several at the same moment.
+pub fn big_uploads(record: &Arc<Record>, trouble: bool) -> i32 {
+    const BODY_BYTES: usize = 48 << 20;
+    const UPLOADS: usize = 4;
+    const BURST_UPLOADS: usize = 6;
+    const ROUNDS: usize = 3;
+    const MEMORY_KIB: u64 = 260 * 1024;
+    let deployment = Deployment::new(record, 2);
+    let world = &deployment.world;
+    let routes = [("/photo/", "upload", "photos", 20_000, 4000)];
+    world.store.put("op/config", &config(15_000, &routes, &[("photos", false)]));
+    for number in 0..6 {
+        Endpoint::start(world, deployment.endpoint_ip(), &format!("i-{number}"), "photos", 6, false);
+    }
+    platform::start_heartbeats(world, HEARTBEAT);
+    deployment.start();
+    let body = Arc::new(vec![b'p'; BODY_BYTES]);
+    let small = Request {
+        method: "POST",
+        path: "/photo/a",
+        work_ms: 5,
+        deadline_ms: 20_000,
+        key: None,
+        body: b"p",
+    };
+    if !await_service(&deployment, &small) {
+        record.say("no service");
+        return 2;
+    }
+    // The platform kills a process that exceeds its memory.
+    let machines = Arc::new(deployment.machines);
+    let ends = Arc::new(Mutex::new([0usize; 2]));
+    let peak = Arc::new(AtomicU64::new(0));
+    {
+        let (machines, ends, peak, record) =
+            (machines.clone(), ends.clone(), peak.clone(), record.clone());
+        thread::spawn(move || loop {
+            for (number, machine) in machines.iter().enumerate() {
+                let memory_kib = machine.memory_kib();
+                peak.fetch_max(memory_kib, Ordering::AcqRel);
+                if memory_kib > MEMORY_KIB {
+                    record.say(format!("{} holds {memory_kib} KiB and is killed", machine.name));
+                    machine.signal(platform::SIGKILL);
+                    lock(&ends)[number] += 1;
+                    while machine.runs() {
+                        sleep_ms(1);
+                    }
+                    let machines = machines.clone();
+                    thread::spawn(move || {
+                        sleep_ms(500);
+                        machines[number].start();
+                    });
+                }
+            }
+            sleep_ms(3);
+        });
+    }
+    let lost = Arc::new(AtomicU64::new(0));
+    let served = Arc::new(AtomicU64::new(0));
+    for _ in 0..ROUNDS {
+        for machine in machines.iter() {
+            let front = machine.front();
+            let upload = {
+                let (world, body, record) = (world.clone(), body.clone(), record.clone());
+                let (lost, served) = (lost.clone(), served.clone());
+                move || {
+                    let Ok(mut connection) = Connection::open(front) else {
+                        record.line("client could not connect");
+                        return;
+                    };
+                    let request = Request {
+                        method: "POST",
+                        path: "/photo/big",
+                        work_ms: 500,
+                        deadline_ms: 20_000,
+                        key: None,
+                        body: &body,
+                    };
+                    let (_, answer) = exchange(&world, &mut connection, &request, 20_500);
+                    match answer {
+                        Ok(answer) if answer.status() == 200 => served.fetch_add(1, Ordering::AcqRel),
+                        _ => lost.fetch_add(1, Ordering::AcqRel),
+                    };
+                }
+            };
+            let count = if trouble { BURST_UPLOADS } else { UPLOADS };
+            let all: Vec<_> = (0..count).map(|_| thread::spawn(upload.clone())).collect();
+            all.into_iter().for_each(|one| drop(one.join()));
+        }
+        let until = Instant::now() + Duration::from_secs(8);
+        while !machines.iter().all(platform::Machine::ready) && Instant::now() < until {
+            sleep_ms(50);
+        }
+        sleep_ms(500);
+    }
+    let ends = *lock(&ends);
+    record.say(format!(
+        "uploads of {BODY_BYTES} bytes served {}, without a success {}; most memory {} KiB; \
+         processes that ended over their memory: {ends:?}",
+        served.load(Ordering::Acquire),
+        lost.load(Ordering::Acquire),
+        peak.load(Ordering::Acquire)
+    ));
+    i32::from(ends.iter().all(|count| *count >= 3))
+}
