--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -358,6 +358,8 @@
     born: u128,
     sequence: AtomicU64,
     draining: AtomicBool,
+    refuses: AtomicBool,
+    unregistered: AtomicBool,
     state: Mutex<EndpointState>,
     changed: Condvar,
     /// Factor on the time that a request takes which begins now.
@@ -418,6 +420,8 @@
             born: now.as_millis(),
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            refuses: AtomicBool::new(false),
+            unregistered: AtomicBool::new(false),
             state: Mutex::new(EndpointState {
                 holds: vec![None; KEYS],
                 unreleased: vec![None; KEYS],
@@ -435,17 +439,64 @@
         lock(&world.endpoints).push(endpoint.clone());
         endpoint.register();
         let accepting = endpoint.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let endpoint = accepting.clone();
-                thread::spawn(move || endpoint.serve(Connection::new(stream)));
-            }
-        });
+        thread::spawn(move || accepting.accept(listener));
         endpoint
     }
 
+    /// Accepts connections; while new ones are refused there is no listener.
+    fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            match (&listener, self.refuses.load(Ordering::Acquire)) {
+                (Some(_), true) => listener = None,
+                (None, false) => listener = Some(bind(self.address)),
+                (Some(open), false) => {
+                    let _ = open.set_nonblocking(true);
+                    while let Ok((stream, _)) = open.accept() {
+                        let _ = stream.set_nonblocking(false);
+                        let endpoint = self.clone();
+                        thread::spawn(move || endpoint.serve(Connection::new(stream)));
+                    }
+                }
+                (None, true) => {}
+            }
+            sleep_ms(2);
+        }
+    }
+
+    /// Sets whether new connections are refused; those that are open live on.
+    pub fn set_refuses(&self, refuses: bool) {
+        self.refuses.store(refuses, Ordering::Release);
+    }
+
+    /// Removes the endpoint's entry without a report before; it serves on.
+    pub fn leave_unreported(&self) {
+        self.unregistered.store(true, Ordering::Release);
+        self.world.store.delete(&format!("servers/{}", self.id));
+        self.world.record.line(format!("the entry of {} is removed", self.id));
+    }
+
+    /// Returns the ranges that the endpoint holds now.
+    pub fn ranges(&self) -> Vec<(usize, usize)> {
+        let now = Instant::now();
+        let state = lock(&self.state);
+        let mut ranges: Vec<(usize, usize)> = Vec::new();
+        for key in 0..KEYS {
+            if state.holds[key].is_some_and(|until| now < until) {
+                match ranges.last_mut() {
+                    Some((_, last)) if *last + 1 == key => *last = key,
+                    _ => ranges.push((key, key)),
+                }
+            }
+        }
+        ranges
+    }
+
     /// Writes the endpoint's entry.
     fn register(&self) {
+        if self.unregistered.load(Ordering::Acquire) {
+            return;
+        }
         let state = if self.draining.load(Ordering::Acquire) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::AcqRel) + 1;
         let entry = format!(
--- a/review/standins/rv.rs
+++ b/review/standins/rv.rs
@@ -33,6 +33,7 @@
         "idle" => scenarios::idle(&record, trouble),
         "late-extra" => scenarios::late_extra(&record, trouble),
         "big-uploads" => scenarios::big_uploads(&record, trouble),
+        "refused-release" => scenarios::refused_release(&record, trouble),
         "pipeline-term" => scenarios::pipeline_term(&record, trouble),
         _ => {
             eprintln!("rv: unknown scenario {scenario}");
--- a/review/standins/scenarios.rs
+++ b/review/standins/scenarios.rs
@@ -126,7 +126,8 @@
     const SLOWNESS: u64 = 5;
     const WORK_MS: u64 = 3_200;
     const IDLE_MS: u64 = 15_000;
-    const TIMEOUT_MS: u64 = 20_000;
+    const TIMEOUT_MS: u64 = 18_000;
+    const DEADLINE_MS: u64 = 20_000;
     let deployment = Deployment::new(record, 3);
     let world = &deployment.world;
     let routes = [("/photo/", "upload", "photos", TIMEOUT_MS, 4000)];
@@ -171,11 +172,11 @@
                     method: "POST",
                     path: "/photo/long",
                     work_ms: WORK_MS,
-                    deadline_ms: TIMEOUT_MS,
+                    deadline_ms: DEADLINE_MS,
                     key: None,
                     body: b"photo",
                 };
-                let (_, answer) = exchange(&world, &mut connection, &long, TIMEOUT_MS + 500);
+                let (_, answer) = exchange(&world, &mut connection, &long, DEADLINE_MS);
                 let Some(answer) = answer.ok().filter(|answer| answer.status() == 200) else {
                     long_failed.fetch_add(1, Ordering::AcqRel);
                     return;
@@ -505,3 +506,109 @@
     ));
     i32::from(ends.iter().all(|count| *count >= 3))
 }
+
+/// The machines of a zone are partitioned from all endpoints, so that new connections are
+/// refused while open ones live on; an endpoint leaves without a report before.
+pub fn refused_release(record: &Arc<Record>, trouble: bool) -> i32 {
+    const ENDPOINTS: usize = 6;
+    const LONG_MS: u64 = 2600;
+    let deployment = Deployment::new(record, 2);
+    let world = &deployment.world;
+    let routes = [("/tag/", "safe", "tags", 4000, 1000)];
+    world.store.put("op/config", &config(15_000, &routes, &[("tags", true)]));
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|number| {
+            let id = format!("i-{number}");
+            Endpoint::start(world, deployment.endpoint_ip(), &id, "tags", 6, true)
+        })
+        .collect();
+    platform::start_heartbeats(world, HEARTBEAT);
+    deployment.start();
+    let probe = Request {
+        method: "GET",
+        path: "/tag/a",
+        work_ms: 5,
+        deadline_ms: 2000,
+        key: Some(0),
+        body: b"",
+    };
+    if !await_service(&deployment, &probe) {
+        record.say("no service");
+        return 2;
+    }
+    // What each client sends, work in ms and keys, or nothing. At first many clients send short
+    // requests, so that the machines keep open connections to all endpoints.
+    type Plan = Option<(u64, usize, usize)>;
+    let plans: Arc<Mutex<Vec<Plan>>> = Arc::new(Mutex::new(vec![Some((30, 0, 65_535)); 24]));
+    for number in 0..24usize {
+        let front = deployment.machines[number % 2].front();
+        let (world, plans) = (world.clone(), plans.clone());
+        thread::spawn(move || {
+            let mut connection = None;
+            let mut turn = number as u64;
+            loop {
+                let plan = lock(&plans)[number];
+                let Some((work_ms, from, to)) = plan else {
+                    sleep_ms(20);
+                    continue;
+                };
+                turn += 31;
+                let mixed = turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
+                let key = from + mixed as usize % (to - from + 1);
+                let opened = connection.take().map_or_else(|| Connection::open(front).ok(), Some);
+                let Some(mut open) = opened else { continue };
+                let request = Request {
+                    method: "GET",
+                    path: "/tag/b",
+                    work_ms,
+                    deadline_ms: 4000,
+                    key: Some(key),
+                    body: b"",
+                };
+                let (_, answer) = exchange(&world, &mut open, &request, 4500);
+                if answer.is_ok() {
+                    connection = Some(open);
+                }
+                sleep_ms(10);
+            }
+        });
+    }
+    sleep_ms(4000);
+    let leaver = &endpoints[0];
+    let held = leaver.ranges();
+    record.line(format!("{} holds {held:?}", leaver.id));
+    let Some((from, to)) = held.iter().max_by_key(|(from, to)| to - from).copied() else {
+        record.say("the endpoint holds no keys");
+        return 2;
+    };
+    // Six long requests at the endpoint, begun one after the other, and four clients with short
+    // ones.
+    {
+        let mut plans = lock(&plans);
+        plans.fill(None);
+        for plan in plans.iter_mut().take(4) {
+            *plan = Some((30, 0, 65_535));
+        }
+    }
+    for client in 10..16 {
+        lock(&plans)[client] = Some((LONG_MS, from, to));
+        sleep_ms(LONG_MS / 6);
+    }
+    if trouble {
+        for endpoint in &endpoints {
+            endpoint.set_refuses(true);
+        }
+        record.line("new connections from the machines to endpoints are refused");
+    }
+    sleep_ms(300);
+    leaver.leave_unreported();
+    sleep_ms(4000);
+    for endpoint in &endpoints {
+        endpoint.set_refuses(false);
+    }
+    record.line("new connections are accepted");
+    sleep_ms(1000);
+    let broken = lock(&world.broken).len();
+    record.say(format!("OWNER broken {broken} times"));
+    i32::from(broken > 0)
+}
