--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -476,6 +476,19 @@
         self.world.record.line(format!("the entry of {} is removed", self.id));
     }
 
+    /// Writes an entry of another writer that names this endpoint's address.
+    pub fn write_foreign_entry(&self, id: &str, service: &str) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"v1\",\
+             \"slots\":1,\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{}}}",
+            self.address,
+            now.as_millis()
+        );
+        self.world.store.put(&format!("servers/{id}"), &entry);
+        self.world.record.line(format!("another writer writes servers/{id} {entry}"));
+    }
+
     /// Returns the ranges that the endpoint holds now.
     pub fn ranges(&self) -> Vec<(usize, usize)> {
         let now = Instant::now();
--- a/review/standins/rv.rs
+++ b/review/standins/rv.rs
@@ -34,7 +34,7 @@
         "late-extra" => scenarios::late_extra(&record, trouble),
         "big-uploads" => scenarios::big_uploads(&record, trouble),
         "refused-release" => scenarios::refused_release(&record, trouble),
-        "pipeline-term" => scenarios::pipeline_term(&record, trouble),
+        "foreign-entry" => scenarios::foreign_entry(&record, trouble),
         _ => {
             eprintln!("rv: unknown scenario {scenario}");
             2
