--- a/review/standins/scenarios.rs
+++ b/review/standins/scenarios.rs
@@ -1,7 +1,7 @@
 //! The scenarios of the cases.
 
 use crate::http::{self, Connection, Message};
-use crate::platform::{self, lock, sleep_ms, Deployment, Endpoint, Record, Run, World};
+use crate::platform::{self, lock, sleep_ms, Deployment, Endpoint, Record, World};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
