review 4: a merge that is stored late forgets the grants given meanwhile

Two endpoints that are up hold the same keys for over half a second.

Order of events: two ranges of one owner are to be stored as one; the store is down for 4.5 s, and the leader goes on renewing both. The store returns and takes the write; the merged range has the times of the plan. Its owner is cut off with resets; the leader finds its grant expired at once and grants the keys to another endpoint, 2.6 s before the owner's hold runs out.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rv ] && [ -x target/release/godwitloom-platform ] || exit 2
-exec target/review/rv idle review/4/record.txt
+exec target/review/rv stale-merge review/4/record.txt
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/rv review/standins/rv.rs
+rustc --edition 2024 -O -o target/review/rv review/standins/rv.rs
--- a/review/standins/rv.rs
+++ b/review/standins/rv.rs
@@ -32,7 +32,7 @@
     let status = match scenario.as_str() {
         "idle" => scenarios::idle(&record, trouble),
         "late-extra" => scenarios::late_extra(&record, trouble),
-        "big-uploads" => scenarios::big_uploads(&record, trouble),
+        "stale-merge" => scenarios::stale_merge(&record, trouble),
         "refused-release" => scenarios::refused_release(&record, trouble),
         "foreign-entry" => scenarios::foreign_entry(&record, trouble),
         _ => {
