--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -357,6 +357,8 @@
     grants_to_spoil: u64,
     answers: u64,
     spoiled: u64,
+    /// Grants that were accepted.
+    grants: u64,
 }
 
 /// An endpoint of a service.
@@ -442,6 +444,7 @@
                 grants_to_spoil: 0,
                 answers: 0,
                 spoiled: 0,
+                grants: 0,
             }),
             changed: Condvar::new(),
             slowness: AtomicU64::new(1),
@@ -562,6 +565,15 @@
         lock(&self.state).grants_to_spoil = count;
     }
 
+    /// Waits until the next grant or renewal is accepted, for at most 1.5 s.
+    pub fn await_grant(&self) {
+        let grants = lock(&self.state).grants;
+        let until = Instant::now() + Duration::from_millis(1500);
+        while lock(&self.state).grants == grants && Instant::now() < until {
+            sleep_ms(2);
+        }
+    }
+
     /// Returns whether all grants were spoiled that were to be.
     pub fn has_spoiled(&self) -> bool {
         lock(&self.state).grants_to_spoil == 0
@@ -643,6 +655,7 @@
             let new = !refused
                 && !state.holds[from..=to].iter().all(|hold| hold.is_some_and(|end| now < end));
             if !refused {
+                state.grants += 1;
                 state.fences[from..=to].fill(fence);
                 state.holds[from..=to].fill(Some(until));
                 state.unreleased[from..=to].fill(Some(until));
--- a/review/standins/scenarios.rs
+++ b/review/standins/scenarios.rs
@@ -418,6 +418,7 @@
         record.line("new connections from the machines to endpoints are refused");
     }
     sleep_ms(300);
+    leaver.await_grant();
     leaver.leave_unreported();
     sleep_ms(4000);
     for endpoint in &endpoints {
